Lay the workspace: design, foundation, configuration, blackboard, interfaces

Cause: the repository was empty; the packages need fixed contracts before they can be written in parallel. Change: design page, foundation (errors, clock over CAF, events, time line), configuration with JSON pointers for mistakes, blackboard entries with one owner, interface headers of http, platform, calls, cluster, policy, gateway.

--- /dev/null
+++ b/packages/blackboard/src/blackboard/views.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "config/configuration.h"
+#include "foundation/clock.h"
+
+namespace qp {
+
+/// The configuration in force here, and how well it is confirmed.
+struct ConfigurationView {
+  std::optional<Configuration> configuration;
+  /// Last time the table or a majority of members confirmed it.
+  TimePoint confirmed_at{};
+};
+
+enum class MemberState { kAlive, kSuspect, kLeaving, kGone };
+
+/// A daemon as seen from this one.
+struct Member {
+  std::string node;
+  std::string peer_address;
+  std::string region;
+  std::string availability_zone;
+  std::uint64_t incarnation = 0;  ///< Grows with each start of the node.
+  MemberState state = MemberState::kAlive;
+  std::uint64_t configuration_version = 0;
+  std::uint64_t heartbeat = 0;  ///< Count of heartbeats of this incarnation.
+  TimePoint heard_at{};         ///< Local time of the latest news of it.
+};
+
+struct MembersView {
+  std::vector<Member> members;  ///< Without this daemon; ordered by node.
+};
+
+enum class BackendRole { kEngine, kService };
+
+/// A backend server: a model engine with its layer range, or a plain service.
+struct Backend {
+  std::string name;     ///< VM name, unique.
+  std::string address;  ///< "IP:port".
+  BackendRole role = BackendRole::kEngine;
+  std::string region;
+  std::string availability_zone;
+  std::string kind;     ///< Accelerator kind; empty for services.
+  std::string model;    ///< Model held; empty if none.
+  std::string service;  ///< Service offered; empty for engines.
+  std::uint32_t first_layer = 0;
+  std::uint32_t last_layer = 0;  ///< Inclusive.
+  std::uint64_t incarnation = 0;
+  std::uint32_t slots = 0;    ///< Streams or calls served at the same time.
+  std::uint32_t running = 0;  ///< As last reported, lagging.
+  std::uint32_t queued = 0;   ///< As last reported, lagging.
+  TimePoint reported_at{};
+  bool leaving = false;
+  bool reachable = true;
+
+  bool IsRoutable() const { return this->reachable && !this->leaving; }
+};
+
+struct BackendsView {
+  std::vector<Backend> backends;  ///< Ordered by name.
+};
+
+/// This daemon's share of a class's rate.
+struct ClassShare {
+  double requests_per_second = 0;
+  double tokens_per_second = 0;
+};
+
+struct BudgetsView {
+  std::uint64_t generation = 0;
+  std::map<std::string, ClassShare, std::less<>> shares;  ///< By class name.
+};
+
+/// Why the daemon takes or refuses new work.
+struct ReadinessView {
+  bool ready = false;
+  bool draining = false;
+  std::string reason;  ///< Why it is not ready.
+};
+
+}  // namespace qp
--- /dev/null
+++ b/packages/calls/src/calls/chat_service.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "calls/outcome.h"
+#include "foundation/asio.h"
+
+namespace qp {
+
+/// A question for a model, as accepted from a caller.
+struct ChatRequest {
+  std::string request_id;
+  std::string workspace;
+  std::string class_name;
+  std::string prompt;
+  std::uint32_t max_tokens = 0;
+  Duration deadline{};  ///< Time left when the request arrived.
+};
+
+/// Takes the tokens of one answer in order.
+class TokenSink {
+ public:
+  virtual ~TokenSink() = default;
+  /// An error ends the call: the caller is gone.
+  virtual Task<Result<void>> Write(std::string_view token) = 0;
+  virtual bool disconnected() const = 0;
+};
+
+/// Serves questions: admission, choice of a chain, attempts, resumption.
+class ChatService {
+ public:
+  virtual ~ChatService() = default;
+  /// Writes each token of the answer once and in order to `sink`.
+  virtual Task<CallResult> Run(ChatRequest request, TokenSink& sink) = 0;
+};
+
+}  // namespace qp
--- /dev/null
+++ b/packages/config/src/config/daemon_settings.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "config/json_reader.h"
+#include "foundation/clock.h"
+#include "foundation/error.h"
+
+namespace qp {
+
+/// What one daemon is told at its start: who and where it is, and where the
+/// platform's services are. Addresses are "IP:port".
+struct DaemonSettings {
+  std::string node;  ///< Unique name of this daemon.
+  std::string region;
+  std::string availability_zone;
+  std::string caller_address;
+  std::string operator_address;
+  std::string peer_address;
+  std::string table_address;
+  std::string object_store_address;
+  std::string vm_list_address;
+  std::vector<std::string> seeds;  ///< Peer addresses to contact first.
+  std::string operator_token_sha256;
+  std::string log_format = "human";  ///< "human" or "json".
+  std::string log_level = "info";    ///< debug, info, warning or error.
+  Duration drain_grace{};  ///< Time to keep accepting after a drain begins.
+};
+
+DaemonSettings ReadDaemonSettings(const nlohmann::json& document,
+                                  std::vector<Mistake>& mistakes);
+
+/// kInvalidArgument with every mistake, one a line, as its detail.
+Result<DaemonSettings> ParseDaemonSettings(std::string_view text);
+
+}  // namespace qp
--- /dev/null
+++ b/packages/foundation/src/foundation/event.cc
@@ -0,0 +1,141 @@
+#include "foundation/event.h"
+
+#include <algorithm>
+#include <array>
+
+namespace qp {
+
+namespace {
+
+constexpr std::array kCatalogue = {
+    EventInfo{EventId::kDaemonStarted, "daemon_started", Severity::kInfo,
+              "The daemon has opened its listeners."},
+    EventInfo{EventId::kDaemonReady, "daemon_ready", Severity::kInfo,
+              "The daemon takes new work."},
+    EventInfo{EventId::kDaemonUnready, "daemon_unready", Severity::kWarning,
+              "The daemon refuses new work; the field reason says why."},
+    EventInfo{EventId::kDrainStarted, "drain_started", Severity::kInfo,
+              "A planned stop has begun; work in flight goes on."},
+    EventInfo{EventId::kDaemonStopped, "daemon_stopped", Severity::kInfo,
+              "All work in flight has ended and the daemon leaves."},
+    EventInfo{EventId::kRequestRefused, "request_refused", Severity::kInfo,
+              "A request was refused before its start."},
+    EventInfo{EventId::kRequestFinished, "request_finished", Severity::kDebug,
+              "A request got its final answer."},
+    EventInfo{EventId::kListenerOpened, "listener_opened", Severity::kInfo,
+              "A listener accepts connections."},
+    EventInfo{EventId::kClientDisconnected, "client_disconnected",
+              Severity::kDebug,
+              "A caller closed its connection before the answer ended."},
+    EventInfo{EventId::kAccessDenied, "access_denied", Severity::kWarning,
+              "A bearer token was missing or not known."},
+    EventInfo{EventId::kAttemptStarted, "attempt_started", Severity::kDebug,
+              "A chain of stages was given a stream."},
+    EventInfo{
+        EventId::kAttemptFailed, "attempt_failed", Severity::kWarning,
+        "An attempt ended in an error; the fields say at which step and peer."},
+    EventInfo{
+        EventId::kStreamResumed, "stream_resumed", Severity::kInfo,
+        "A stream goes on at the position where a failed attempt stopped."},
+    EventInfo{EventId::kLateRecordDropped, "late_record_dropped",
+              Severity::kDebug,
+              "A token record of a former attempt or position was dropped."},
+    EventInfo{
+        EventId::kClaimWon, "claim_won", Severity::kDebug,
+        "This daemon holds the claim of a call that may not be repeated."},
+    EventInfo{EventId::kClaimLost, "claim_lost", Severity::kInfo,
+              "Another daemon or an earlier try holds the claim."},
+    EventInfo{
+        EventId::kClaimUnresolved, "claim_unresolved", Severity::kWarning,
+        "The answer to a claim write was lost and could not be read back."},
+    EventInfo{EventId::kClaimReleased, "claim_released", Severity::kInfo,
+              "A claim whose call was never sent was released."},
+    EventInfo{EventId::kOnceCallSent, "once_call_sent", Severity::kDebug,
+              "A call that may not be repeated left for its service."},
+    EventInfo{EventId::kOnceCallFinished, "once_call_finished",
+              Severity::kDebug,
+              "A call that may not be repeated has a recorded answer."},
+    EventInfo{EventId::kMemberJoined, "member_joined", Severity::kInfo,
+              "A daemon was heard for the first time."},
+    EventInfo{
+        EventId::kMemberSuspected, "member_suspected", Severity::kWarning,
+        "A daemon has not been heard of for longer than the suspicion bound."},
+    EventInfo{EventId::kMemberLost, "member_lost", Severity::kWarning,
+              "A daemon counts as gone."},
+    EventInfo{EventId::kConfigurationReceived, "configuration_received",
+              Severity::kInfo, "A peer sent a higher configuration version."},
+    EventInfo{EventId::kMessageDropped, "message_dropped", Severity::kWarning,
+              "A message between daemons was malformed or of an unknown kind."},
+    EventInfo{EventId::kBudgetGranted, "budget_granted", Severity::kInfo,
+              "Part of a class budget was given to a peer."},
+    EventInfo{EventId::kBudgetReceived, "budget_received", Severity::kInfo,
+              "Part of a class budget was received from a peer."},
+    EventInfo{EventId::kBudgetGeneration, "budget_generation", Severity::kInfo,
+              "A new budget generation is in use."},
+    EventInfo{EventId::kConfirmationLost, "confirmation_lost", Severity::kError,
+              "The configuration in force could not be confirmed in time."},
+    EventInfo{EventId::kConfirmationRegained, "confirmation_regained",
+              Severity::kInfo,
+              "The configuration in force is confirmed again."},
+    EventInfo{EventId::kTableUnavailable, "table_unavailable", Severity::kError,
+              "The table service does not answer."},
+    EventInfo{EventId::kTableAvailable, "table_available", Severity::kInfo,
+              "The table service answers again."},
+    EventInfo{EventId::kVmListUnavailable, "vm_list_unavailable",
+              Severity::kWarning,
+              "The VM list could not be read; the last one stays in use."},
+    EventInfo{EventId::kConfigurationAccepted, "configuration_accepted",
+              Severity::kInfo,
+              "The table accepted a configuration change from this daemon."},
+    EventInfo{
+        EventId::kConfigurationRefused, "configuration_refused",
+        Severity::kInfo,
+        "A configuration change was refused; another version is in force."},
+    EventInfo{EventId::kConfigurationUnresolved, "configuration_unresolved",
+              Severity::kWarning,
+              "It is not known whether a configuration change took effect."},
+    EventInfo{EventId::kBackendJoined, "backend_joined", Severity::kInfo,
+              "A backend server takes part in routing."},
+    EventInfo{EventId::kBackendLeaving, "backend_leaving", Severity::kInfo,
+              "A backend server is leaving and gets no new work."},
+    EventInfo{EventId::kBackendLost, "backend_lost", Severity::kWarning,
+              "A backend server does not answer."},
+    EventInfo{EventId::kLeaseAcquired, "lease_acquired", Severity::kInfo,
+              "This daemon holds the placement lease."},
+    EventInfo{EventId::kLeaseLost, "lease_lost", Severity::kWarning,
+              "This daemon no longer holds the placement lease."},
+    EventInfo{EventId::kOrderSent, "order_sent", Severity::kInfo,
+              "An order was sent to an engine."},
+    EventInfo{EventId::kOrderRefused, "order_refused", Severity::kWarning,
+              "An engine refused an order."},
+    EventInfo{EventId::kConfigurationInForce, "configuration_in_force",
+              Severity::kInfo,
+              "A configuration version is in force on this daemon."},
+};
+
+}  // namespace
+
+std::string_view ToString(Severity severity) {
+  switch (severity) {
+    case Severity::kDebug:
+      return "debug";
+    case Severity::kInfo:
+      return "info";
+    case Severity::kWarning:
+      return "warning";
+    case Severity::kError:
+      return "error";
+  }
+  return "error";
+}
+
+std::span<const EventInfo> EventCatalogue() { return kCatalogue; }
+
+const EventInfo& InfoOf(EventId id) {
+  const auto found = std::lower_bound(
+      kCatalogue.begin(), kCatalogue.end(), id,
+      [](const EventInfo& info, EventId wanted) { return info.id < wanted; });
+  return *found;
+}
+
+}  // namespace qp
--- /dev/null
+++ b/packages/foundation/src/foundation/event.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "foundation/hybrid_clock.h"
+
+namespace qp {
+
+enum class Severity { kDebug, kInfo, kWarning, kError };
+
+std::string_view ToString(Severity severity);
+
+/// Number of a log event. Numbers are stable; a retired one is not reused.
+/// 1xxx daemon, 2xxx gateway, 3xxx calls, 4xxx cluster, 5xxx platform,
+/// 6xxx policy and controllers.
+enum class EventId : std::uint16_t {
+  kDaemonStarted = 1001,
+  kDaemonReady = 1002,
+  kDaemonUnready = 1003,
+  kDrainStarted = 1004,
+  kDaemonStopped = 1005,
+
+  kRequestRefused = 2001,
+  kRequestFinished = 2002,
+  kListenerOpened = 2003,
+  kClientDisconnected = 2004,
+  kAccessDenied = 2005,
+
+  kAttemptStarted = 3001,
+  kAttemptFailed = 3002,
+  kStreamResumed = 3003,
+  kLateRecordDropped = 3004,
+  kClaimWon = 3005,
+  kClaimLost = 3006,
+  kClaimUnresolved = 3007,
+  kClaimReleased = 3008,
+  kOnceCallSent = 3009,
+  kOnceCallFinished = 3010,
+
+  kMemberJoined = 4001,
+  kMemberSuspected = 4002,
+  kMemberLost = 4003,
+  kConfigurationReceived = 4004,
+  kMessageDropped = 4005,
+  kBudgetGranted = 4006,
+  kBudgetReceived = 4007,
+  kBudgetGeneration = 4008,
+  kConfirmationLost = 4009,
+  kConfirmationRegained = 4010,
+
+  kTableUnavailable = 5001,
+  kTableAvailable = 5002,
+  kVmListUnavailable = 5003,
+  kConfigurationAccepted = 5004,
+  kConfigurationRefused = 5005,
+  kConfigurationUnresolved = 5006,
+
+  kBackendJoined = 6001,
+  kBackendLeaving = 6002,
+  kBackendLost = 6003,
+  kLeaseAcquired = 6004,
+  kLeaseLost = 6005,
+  kOrderSent = 6006,
+  kOrderRefused = 6007,
+  kConfigurationInForce = 6008,
+};
+
+/// Catalogue entry of an event.
+struct EventInfo {
+  EventId id;
+  std::string_view name;  ///< Lower snake case.
+  Severity severity;
+  std::string_view summary;  ///< One sentence for operators.
+};
+
+/// All events, ordered by number.
+std::span<const EventInfo> EventCatalogue();
+
+/// Entry of `id`; every EventId has one.
+const EventInfo& InfoOf(EventId id);
+
+struct EventField {
+  std::string name;
+  std::string value;
+};
+
+/// One event as it is logged and kept for the time line.
+struct Event {
+  EventId id;
+  HybridTime time;
+  std::string node;
+  std::vector<EventField> fields;
+};
+
+/// Takes events of one process. Thread-safe.
+class EventSink {
+ public:
+  virtual ~EventSink() = default;
+  virtual void Record(EventId id, std::vector<EventField> fields) = 0;
+};
+
+/// Discards events, for tests and tools.
+class NullEventSink : public EventSink {
+ public:
+  void Record(EventId, std::vector<EventField>) override {}
+};
+
+}  // namespace qp
--- /dev/null
+++ b/packages/platform/src/platform/vm_list.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "foundation/asio.h"
+#include "foundation/error.h"
+
+namespace qp {
+
+enum class VmState { kLive, kLeaving };
+
+/// One VM of the platform's list, which lags behind the truth.
+struct Vm {
+  std::string name;
+  std::string role;     ///< "entry", "engine" or "service".
+  std::string address;  ///< "IP:port"; an entry VM's is its peer address.
+  std::string region;
+  std::string availability_zone;
+  VmState state = VmState::kLive;
+};
+
+class VmList {
+ public:
+  virtual ~VmList() = default;
+  virtual Task<Result<std::vector<Vm>>> Fetch() = 0;
+};
+
+}  // namespace qp
--- /dev/null
+++ b/packages/policy/src/policy/admission.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
+#include "blackboard/views.h"
+#include "config/configuration.h"
+#include "foundation/clock.h"
+
+namespace qp::policy {
+
+enum class RefusalReason {
+  kNone,
+  kUnknownClass,
+  kClassOverTarget,     ///< The class has used its share of the rate.
+  kWorkspaceOverShare,  ///< The workspace has used its fair part of the class.
+  kDeadlineTooShort,    ///< The predicted answer would come too late.
+  kNoCapacity,          ///< No chain or server can serve it now.
+};
+
+std::string_view ToString(RefusalReason reason);
+
+/// What admission knows of a request at the door.
+struct AdmissionRequest {
+  std::string_view class_name;
+  std::string_view workspace;
+  double expected_tokens = 0;
+  Duration deadline{};
+  Duration predicted_first_token{};
+  Duration predicted_between_tokens{};
+};
+
+struct AdmissionDecision {
+  RefusalReason reason = RefusalReason::kNone;
+  Duration retry_after{};  ///< Spread, so that callers don't return in step.
+
+  bool admitted() const { return this->reason == RefusalReason::kNone; }
+};
+
+/// Holds each class to this daemon's share of its target and shares it fairly
+/// among workspaces. Deterministic for one seed and one order of calls.
+class Admission {
+ public:
+  explicit Admission(std::uint64_t seed);
+  ~Admission();
+
+  /// Takes over classes and shares. Rates already used stay used.
+  void Update(const Configuration& configuration, const BudgetsView& budgets,
+              TimePoint now);
+
+  /// Decides and, if admitted, charges the request.
+  AdmissionDecision Decide(const AdmissionRequest& request, TimePoint now);
+
+  /// Corrects the charge once the true number of tokens is known.
+  void Settle(std::string_view class_name, std::string_view workspace,
+              double expected_tokens, double actual_tokens);
+
+  /// Requests a second that were refused over the last seconds for lack of
+  /// share; the shortage that the budget exchange reports.
+  double Shortage(std::string_view class_name, TimePoint now) const;
+
+ private:
+  struct State;
+  std::unique_ptr<State> state;
+};
+
+}  // namespace qp::policy
--- /dev/null
+++ b/packages/testing/src/testing/catch_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/packages/testing/src/testing/test_runtime.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <caf/actor_system.hpp>
+#include <caf/actor_system_config.hpp>
+#include <caf/atom.hpp>
+#include <caf/scheduler/test_coordinator.hpp>
+#include <optional>
+
+#include "foundation/asio.h"
+#include "foundation/caf_clock.h"
+
+namespace qp::testing {
+
+namespace detail {
+
+struct PausedConfig : caf::actor_system_config {
+  PausedConfig() { this->set("scheduler.policy", caf::atom("testing")); }
+};
+
+}  // namespace detail
+
+/// Actor system with a paused clock and an io_context, both driven by the
+/// test on its own thread.
+class TestRuntime {
+ public:
+  TestRuntime() : system(this->config) {
+    this->caf_clock.emplace(this->system);
+  }
+
+  // The testing scheduler runs actors only when asked, also to end them.
+  ~TestRuntime() {
+    this->caf_clock.reset();
+    this->Coordinator().run();
+  }
+
+  TestRuntime(const TestRuntime&) = delete;
+  TestRuntime& operator=(const TestRuntime&) = delete;
+
+  CafClock& clock() { return *this->caf_clock; }
+  asio::io_context& io() { return this->context; }
+  caf::actor_system& actors() { return this->system; }
+
+  /// Runs what is ready on both schedulers, without moving the clock.
+  void Settle() {
+    bool progress = true;
+    while (progress) {
+      progress = this->Coordinator().run() > 0;
+      this->context.restart();
+      progress = this->context.poll() > 0 || progress;
+    }
+  }
+
+  /// Moves the clock by `duration` in steps of `step`, settling after each.
+  void Advance(Duration duration,
+               Duration step = std::chrono::milliseconds(1)) {
+    this->Settle();
+    for (Duration passed{0}; passed < duration; passed += step) {
+      this->Coordinator().clock().advance_time(
+          std::min(step, duration - passed));
+      this->Settle();
+    }
+  }
+
+  /// Runs `task` to its end, advancing the clock up to `bound`; empty if the
+  /// task has not ended by then.
+  template <class T>
+  std::optional<T> RunFor(Task<T> task, Duration bound) {
+    std::optional<T> result;
+    asio::co_spawn(this->context, std::move(task),
+                   [&result](std::exception_ptr failure, T value) {
+                     if (!failure) {
+                       result.emplace(std::move(value));
+                     }
+                   });
+    this->Settle();
+    const auto deadline = this->caf_clock->Now() + bound;
+    while (!result && this->caf_clock->Now() < deadline) {
+      this->Advance(std::chrono::milliseconds(1));
+    }
+    return result;
+  }
+
+ private:
+  caf::scheduler::test_coordinator& Coordinator() {
+    return dynamic_cast<caf::scheduler::test_coordinator&>(
+        this->system.scheduler());
+  }
+
+  detail::PausedConfig config;
+  caf::actor_system system;
+  asio::io_context context;
+  std::optional<CafClock> caf_clock;
+};
+
+}  // namespace qp::testing
