--- /dev/null
+++ b/packages/policy/src/policy/admission.cc
@@ -0,0 +1,373 @@
+#include "policy/admission.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace qp::policy {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+/// Unused rate that a class may keep; bounds the burst after a quiet time.
+constexpr Seconds kBurst{1.0};
+/// A workspace that has not asked for this long takes no part in the sharing.
+constexpr Seconds kActivity{10.0};
+/// A small bucket loses rate to the spacing of random arrivals; two requests
+/// keep that loss below the 5% that a workspace may fall short.
+constexpr double kLeastBurstRequests = 2;
+/// Time constant of the count of refusals.
+constexpr Seconds kRefusalMemory{3.0};
+constexpr Seconds kLeastRetryAfter{0.5};
+constexpr Seconds kMostRetryAfter{30.0};
+constexpr std::size_t kDimensions = 2;
+
+/// Requests and tokens, in that order.
+using Amounts = std::array<double, kDimensions>;
+
+struct WorkspaceState {
+  Amounts level{};
+  TimePoint asked_at{};
+};
+
+/// A count that decays exponentially.
+struct DecayingCount {
+  double count = 0;
+  TimePoint counted_at{};
+
+  double At(TimePoint now) const {
+    const Seconds age = now - this->counted_at;
+    return this->count * std::exp(-age / kRefusalMemory);
+  }
+  void Add(TimePoint now) {
+    this->count = this->At(now) + 1;
+    this->counted_at = now;
+  }
+};
+
+}  // namespace
+
+std::string_view ToString(RefusalReason reason) {
+  switch (reason) {
+    case RefusalReason::kNone:
+      return "none";
+    case RefusalReason::kUnknownClass:
+      return "unknown_class";
+    case RefusalReason::kClassOverTarget:
+      return "class_over_target";
+    case RefusalReason::kWorkspaceOverShare:
+      return "workspace_over_share";
+    case RefusalReason::kDeadlineTooShort:
+      return "deadline_too_short";
+    case RefusalReason::kNoCapacity:
+      return "no_capacity";
+  }
+  return "unknown";
+}
+
+namespace {
+
+/// Buckets of one class. Every unit of rate is credited once: to the active
+/// workspaces in equal parts, what full buckets leave to the others, and what
+/// all leave to `spare`, from which any workspace may take.
+class ClassBuckets {
+ public:
+  void SetShare(const RequestClass& request_class, const ClassShare& share) {
+    this->pool = request_class.model.empty()
+                     ? "service:" + request_class.service
+                     : "model:" + request_class.model;
+    this->rate = {share.requests_per_second, share.tokens_per_second};
+    this->limited = {request_class.target.requests_per_second > 0,
+                     request_class.target.tokens_per_second > 0};
+    for (std::size_t d = 0; d < kDimensions; ++d) {
+      this->spare[d] = std::min(this->spare[d], this->ClassCap(d));
+    }
+  }
+
+  /// Credits the rate since the last call; returns what no bucket holds.
+  Amounts Refill(TimePoint now) {
+    Amounts surplus{};
+    if (!this->started) {
+      this->started = true;
+      this->refilled_at = now;
+      for (std::size_t d = 0; d < kDimensions; ++d) {
+        this->spare[d] = this->ClassCap(d);
+      }
+    }
+    const Seconds elapsed = now - this->refilled_at;
+    if (elapsed <= Seconds::zero()) {
+      return surplus;
+    }
+    this->refilled_at = now;
+    this->RetireIdle(now);
+    for (std::size_t d = 0; d < kDimensions; ++d) {
+      surplus[d] = this->Distribute(d, this->rate[d] * elapsed.count());
+    }
+    return surplus;
+  }
+
+  WorkspaceState& Enter(std::string_view name, TimePoint now) {
+    auto found = this->workspaces.find(name);
+    if (found == this->workspaces.end()) {
+      found = this->workspaces.emplace(name, WorkspaceState{}).first;
+      for (std::size_t d = 0; d < kDimensions; ++d) {
+        // Lent, so that a newcomer does not start behind those already here.
+        found->second.level[d] = this->WorkspaceCap(d);
+        this->debt[d] += found->second.level[d];
+      }
+    }
+    found->second.asked_at = now;
+    return found->second;
+  }
+
+  /// Whether the bucket and the spare amount cover `cost`. A cost above the
+  /// cap is taken from a full bucket and leaves it in debt.
+  bool Covers(const WorkspaceState& workspace, const Amounts& cost) const {
+    for (std::size_t d = 0; d < kDimensions; ++d) {
+      if (this->limited[d] && workspace.level[d] + this->spare[d] + kRounding <
+                                  std::min(cost[d], this->WorkspaceCap(d))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  void Charge(WorkspaceState& workspace, const Amounts& cost) {
+    for (std::size_t d = 0; d < kDimensions; ++d) {
+      const double own = std::clamp(workspace.level[d], 0.0, cost[d]);
+      const double common = std::min(cost[d] - own, this->spare[d]);
+      this->spare[d] -= common;
+      workspace.level[d] -= cost[d] - common;
+    }
+  }
+
+  WorkspaceState* Find(std::string_view name) {
+    const auto found = this->workspaces.find(name);
+    return found == this->workspaces.end() ? nullptr : &found->second;
+  }
+
+  bool HasShare() const {
+    for (std::size_t d = 0; d < kDimensions; ++d) {
+      if (this->limited[d] && this->rate[d] <= 0) {
+        return false;
+      }
+    }
+    return this->limited[0] || this->limited[1];
+  }
+
+  /// Whether other workspaces hold enough for `cost`.
+  bool OthersCover(const Amounts& cost) const {
+    for (std::size_t d = 0; d < kDimensions; ++d) {
+      double total = this->spare[d];
+      for (const auto& [name, workspace] : this->workspaces) {
+        total += workspace.level[d];
+      }
+      if (this->limited[d] && total < cost[d]) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /// Time until the bucket covers `cost` at the workspace's fair rate.
+  Seconds UntilCovered(const WorkspaceState& workspace,
+                       const Amounts& cost) const {
+    Seconds wait{0};
+    for (std::size_t d = 0; d < kDimensions; ++d) {
+      const double missing = std::min(cost[d], this->WorkspaceCap(d)) -
+                             workspace.level[d] - this->spare[d];
+      if (this->limited[d] && this->rate[d] > 0 && missing > 0) {
+        wait = std::max(wait,
+                        Seconds(missing * this->ActiveCount() / this->rate[d]));
+      }
+    }
+    return wait;
+  }
+
+  double RequestRate() const { return this->rate[0]; }
+
+  std::string pool;
+  DecayingCount refusals;
+  bool configured = false;
+
+ private:
+  static constexpr double kRounding = 1e-9;
+
+  double ActiveCount() const {
+    return std::max<double>(this->workspaces.size(), 1);
+  }
+
+  /// Average size of a request of the class in dimension `d`.
+  double UnitRequest(std::size_t d) const {
+    if (d == 0) {
+      return 1;
+    }
+    return this->rate[0] > 0 ? this->rate[d] / this->rate[0] : 0;
+  }
+
+  double ClassCap(std::size_t d) const {
+    return std::max(this->rate[d] * kBurst.count(), this->UnitRequest(d));
+  }
+
+  double WorkspaceCap(std::size_t d) const {
+    return std::max(this->rate[d] * kBurst.count() / this->ActiveCount(),
+                    kLeastBurstRequests * this->UnitRequest(d));
+  }
+
+  /// Returns what idle workspaces hold, positive or negative, to the class.
+  void RetireIdle(TimePoint now) {
+    for (auto it = this->workspaces.begin(); it != this->workspaces.end();) {
+      if (now - it->second.asked_at < kActivity) {
+        ++it;
+        continue;
+      }
+      for (std::size_t d = 0; d < kDimensions; ++d) {
+        const double level = it->second.level[d];
+        this->debt[d] += std::max(-level, 0.0);
+        this->spare[d] =
+            std::min(this->spare[d] + std::max(level, 0.0), this->ClassCap(d));
+      }
+      it = this->workspaces.erase(it);
+    }
+  }
+
+  /// Max-min distribution of `amount`: equal parts up to each bucket's cap.
+  double Distribute(std::size_t d, double amount) {
+    const double repaid = std::min(this->debt[d], amount);
+    this->debt[d] -= repaid;
+    amount -= repaid;
+
+    std::vector<double*> open;
+    for (auto& [name, workspace] : this->workspaces) {
+      open.push_back(&workspace.level[d]);
+    }
+    const double cap = this->WorkspaceCap(d);
+    // The fullest first, so that each remaining part only grows.
+    std::sort(open.begin(), open.end(),
+              [](const double* a, const double* b) { return *a > *b; });
+    for (std::size_t i = 0; i < open.size(); ++i) {
+      const double part = amount / static_cast<double>(open.size() - i);
+      const double taken = std::clamp(cap - *open[i], 0.0, part);
+      *open[i] += taken;
+      amount -= taken;
+    }
+    const double room = std::max(this->ClassCap(d) - this->spare[d], 0.0);
+    const double kept = std::min(room, amount);
+    this->spare[d] += kept;
+    return amount - kept;
+  }
+
+  Amounts rate{};
+  std::array<bool, kDimensions> limited{};
+  Amounts spare{};
+  /// Amounts lent to newcomers; repaid before anything is distributed.
+  Amounts debt{};
+  bool started = false;
+  TimePoint refilled_at{};
+  std::map<std::string, WorkspaceState, std::less<>> workspaces;
+};
+
+}  // namespace
+
+struct Admission::State {
+  std::mt19937_64 generator;
+  std::map<std::string, ClassBuckets, std::less<>> classes;
+
+  Duration Spread(Seconds least, Seconds width) {
+    std::uniform_real_distribution<double> draw(0, 1);
+    const Seconds wait = least + width * draw(this->generator);
+    return std::chrono::duration_cast<Duration>(wait);
+  }
+};
+
+Admission::Admission(std::uint64_t seed) : state(std::make_unique<State>()) {
+  this->state->generator.seed(seed);
+}
+
+Admission::~Admission() = default;
+
+void Admission::Update(const Configuration& configuration,
+                       const BudgetsView& budgets, TimePoint now) {
+  auto& classes = this->state->classes;
+  for (auto& [name, buckets] : classes) {
+    buckets.Refill(now);
+    buckets.configured = false;
+  }
+  for (const auto& request_class : configuration.classes) {
+    const auto share = budgets.shares.find(request_class.name);
+    auto& buckets = classes[request_class.name];
+    buckets.configured = true;
+    buckets.SetShare(request_class, share == budgets.shares.end()
+                                        ? ClassShare{}
+                                        : share->second);
+  }
+  std::erase_if(classes,
+                [](const auto& item) { return !item.second.configured; });
+}
+
+AdmissionDecision Admission::Decide(const AdmissionRequest& request,
+                                    TimePoint now) {
+  const auto found = this->state->classes.find(request.class_name);
+  if (found == this->state->classes.end()) {
+    return {RefusalReason::kUnknownClass, {}};
+  }
+  auto& buckets = found->second;
+  buckets.Refill(now);
+  const Amounts cost{1, request.expected_tokens};
+
+  const Seconds predicted = Seconds(request.predicted_first_token) +
+                            Seconds(request.predicted_between_tokens) *
+                                std::max(request.expected_tokens - 1, 0.0);
+  if (request.deadline > Duration::zero() &&
+      predicted > Seconds(request.deadline)) {
+    return {RefusalReason::kDeadlineTooShort,
+            this->state->Spread(kLeastRetryAfter, kLeastRetryAfter)};
+  }
+  if (buckets.HasShare()) {
+    auto& workspace = buckets.Enter(request.workspace, now);
+    if (buckets.Covers(workspace, cost)) {
+      buckets.Charge(workspace, cost);
+      return {};
+    }
+    const auto reason = buckets.OthersCover(cost)
+                            ? RefusalReason::kWorkspaceOverShare
+                            : RefusalReason::kClassOverTarget;
+    buckets.refusals.Add(now);
+    const Seconds wait = buckets.UntilCovered(workspace, cost);
+    // The refused of the last seconds return over the time that the class
+    // needs to serve them.
+    const Seconds backlog{buckets.refusals.At(now) / buckets.RequestRate()};
+    const Seconds width =
+        std::clamp(std::max(wait, backlog), kLeastRetryAfter, kMostRetryAfter);
+    return {reason,
+            this->state->Spread(std::max(wait, kLeastRetryAfter), width)};
+  }
+  buckets.refusals.Add(now);
+  return {RefusalReason::kClassOverTarget,
+          this->state->Spread(kLeastRetryAfter, kLeastRetryAfter)};
+}
+
+void Admission::Settle(std::string_view class_name, std::string_view workspace,
+                       double expected_tokens, double actual_tokens) {
+  const auto found = this->state->classes.find(class_name);
+  if (found == this->state->classes.end()) {
+    return;
+  }
+  if (auto* known = found->second.Find(workspace)) {
+    known->level[1] += expected_tokens - actual_tokens;
+  }
+}
+
+double Admission::Shortage(std::string_view class_name, TimePoint now) const {
+  const auto found = this->state->classes.find(class_name);
+  return found == this->state->classes.end()
+             ? 0
+             : found->second.refusals.At(now) / kRefusalMemory.count();
+}
+
+}  // namespace qp::policy
--- /dev/null
+++ b/packages/policy/tests/policy/retry_budget_test.cc
@@ -0,0 +1,33 @@
+#include "policy/retry_budget.h"
+
+#include <catch2/catch.hpp>
+
+// Guards against retries that multiply the load during a partial outage.
+TEST_CASE("Retries stay below a tenth of first tries beyond the reserve",
+          "[retry]") {
+  qp::policy::RetryBudget budget;
+  int retries = 0;
+  constexpr int kTries = 10000;
+  for (int i = 0; i < kTries; ++i) {
+    budget.OnFirstTry();
+    while (budget.TryTake()) {
+      ++retries;
+    }
+  }
+  CHECK(retries <= kTries / 10 + 10);
+  // A budget that never refills would pass the bound above.
+  CHECK(retries >= kTries / 10);
+}
+
+TEST_CASE("A quiet period does not accumulate retries without bound",
+          "[retry]") {
+  qp::policy::RetryBudget budget;
+  for (int i = 0; i < 100000; ++i) {
+    budget.OnFirstTry();
+  }
+  int retries = 0;
+  while (budget.TryTake()) {
+    ++retries;
+  }
+  CHECK(retries == 10);
+}
