Route by maximum flow, corrected for lagging reports

The draw now follows the maximum flow, tilted by the streams expected until the next report (Dahlin 1999), and takes engines in turn.

--- a/packages/policy/src/policy/chain_router.cc
+++ b/packages/policy/src/policy/chain_router.cc
@@ -1,47 +1,516 @@
 #include "policy/chain_router.h"
 
 #include <algorithm>
-#include <limits>
-#include <map>
+#include <cmath>
 #include <random>
 
+#include "foundation/hash.h"
+#include "policy/fair_draw.h"
+#include "policy/link_map.h"
+#include "policy/load_estimate.h"
+#include "policy/pipeline_plan.h"
+#include "policy/prefix_index.h"
+
 namespace qp::policy {
 
 namespace {
 
 using Seconds = std::chrono::duration<double>;
 
-/// Assumed time of one layer for one token until an engine is observed.
-constexpr Seconds kUnknownLayerTime{0.0005};
+/// Part of a batch step that doesn't depend on the number of streams (reading
+/// the weights); the rest grows with the batch.
+constexpr double kFixedStepPart = 0.5;
+/// Streams per slot above which chains are compared by load instead of time.
+constexpr double kBusy = 0.7;
+/// Load, in streams per slot, that a certainly cached prefix may cost more.
+/// Bounds the price of a wrong belief.
+constexpr double kPrefixLoad = 0.25;
+/// How much more often the prefix chain enters a group that holds the prefix.
+constexpr double kPrefixPull = 8;
+/// Time until the next report is seen: two gossip intervals of 0.5 s.
+constexpr Seconds kReportInterval{1.0};
+/// Bounds how far load moves the draw away from the maximum flow.
+constexpr double kMostTilt = 4;
+/// Weight of one observation in an engine's correction.
+constexpr double kObservationWeight = 0.2;
+/// Largest correction, as a logarithm: a factor of 20 either way.
+constexpr double kMostCorrection = 3.0;
+/// A correction halves in this time, so that an engine that is avoided for its
+/// slowness is tried again.
+constexpr Seconds kCorrectionHalfLife{30.0};
+/// Plans kept: one per model and set of engines lately asked for.
+constexpr std::size_t kMostPlans = 16;
+
+struct Correction {
+  double log_factor = 0;
+  TimePoint at{};
+  Seconds predicted_step{};
 
-struct Candidate {
+  double At(TimePoint now) const {
+    const Seconds age = now - this->at;
+    return this->log_factor *
+           std::exp2(-std::max(age / kCorrectionHalfLife, 0.0));
+  }
+  void Add(double log_deviation, TimePoint now) {
+    this->log_factor =
+        std::clamp(this->At(now) + kObservationWeight * log_deviation,
+                   -kMostCorrection, kMostCorrection);
+    this->at = now;
+  }
+};
+
+/// A stage under consideration.
+struct Stage {
   const Backend* engine = nullptr;
-  Seconds layer_time{};
+  const EngineGroup* group = nullptr;
+  std::uint32_t first_layer = 0;
+  double streams = 0;
+  double factor = 1;  ///< Correction of the engine's predicted time.
+  double belief = 0;  ///< That the engine caches the prompt's prefix.
+
+  double Load() const {
+    return this->factor * this->streams /
+           std::max<std::uint32_t>(this->engine->slots, 1);
+  }
+  double LoadLessPrefix() const {
+    return this->Load() - kPrefixLoad * this->belief;
+  }
+  /// Part of the engine's layers that the stage runs.
+  double Part() const {
+    return static_cast<double>(this->group->last_layer - this->first_layer +
+                               1) /
+           (this->group->last_layer - this->group->first_layer + 1);
+  }
+  Seconds Step() const {
+    const double slots = std::max<std::uint32_t>(this->engine->slots, 1);
+    const double batch = std::clamp(this->streams + 1, 1.0, slots);
+    const Seconds full{slots / this->group->TokensPerSecond()};
+    return full * this->Part() * this->factor *
+           (kFixedStepPart + (1 - kFixedStepPart) * batch / slots);
+  }
+  Seconds Prefill(double prompt_tokens) const {
+    return Seconds(prompt_tokens * (1 - this->belief) /
+                   this->group->TokensPerSecond()) *
+           this->Part() * this->factor;
+  }
+};
+
+/// A draw that a chain came from: at an entry or behind a group.
+struct HopPick {
+  std::size_t node = 0;
+  std::size_t hop = 0;
+};
+
+struct MemberPick {
+  std::size_t group = 0;
+  std::size_t member = 0;
+};
+
+/// A chain under consideration with what it is compared by.
+struct Draft {
+  std::vector<Stage> stages;
+  std::vector<HopPick> hops;
+  std::vector<MemberPick> members;
+  Seconds first_token{};
+  Seconds between_tokens{};
+  double load = 0;    ///< Of the most loaded stage.
+  double belief = 0;  ///< Mean of the stages.
+
+  Seconds Total(double tokens) const {
+    return this->first_token + this->between_tokens * tokens;
+  }
 };
 
-/// Cheapest way to reach a layer boundary.
-struct Reached {
-  double cost = std::numeric_limits<double>::infinity();
-  std::uint32_t from = 0;
-  const Candidate* by = nullptr;
+/// A plan together with the state of its draws. Node 0 stands before the
+/// entries, node i + 1 behind group i.
+struct PlannedDraws {
+  PipelinePlan plan;
+  std::vector<FairDraw> hops;
+  std::vector<FairDraw> members;
+
+  PlannedDraws(PipelinePlan planned, std::mt19937_64& generator)
+      : plan(std::move(planned)) {
+    this->hops.emplace_back(this->plan.entries.size(), generator);
+    for (std::size_t i = 0; i < this->plan.groups.size(); ++i) {
+      this->hops.emplace_back(this->plan.next[i].size(), generator);
+      this->members.emplace_back(this->plan.groups[i].members.size(),
+                                 generator);
+    }
+  }
+
+  const std::vector<GroupHop>& HopsOf(std::size_t node) const {
+    return node == 0 ? this->plan.entries : this->plan.next[node - 1];
+  }
 };
 
 }  // namespace
 
 struct ChainRouter::State {
   std::mt19937_64 generator;
-  std::map<std::string, std::uint32_t, std::less<>> in_flight;
-  std::map<std::string, Seconds, std::less<>> observed;
+  LoadEstimate loads;
+  NameMap<Correction> corrections;
+  LinkMap links;
+  std::unordered_map<std::uint64_t, PlannedDraws> plans;
+  TimePoint latest{};
+  std::optional<Duration> stream_time;
+
+  double Factor(std::string_view engine, TimePoint now) const {
+    const auto found = this->corrections.find(engine);
+    return found == this->corrections.end() ? 1
+                                            : std::exp(found->second.At(now));
+  }
+
+  PlannedDraws& PlanFor(const BackendsView& backends, const ChainQuery& query);
+};
+
+namespace {
+
+bool IsUsable(const Backend& backend, const ChainQuery& query) {
+  return backend.role == BackendRole::kEngine && backend.IsRoutable() &&
+         backend.model == query.model->name &&
+         backend.first_layer <= backend.last_layer &&
+         backend.last_layer < query.model->layers &&
+         std::find(query.excluded.begin(), query.excluded.end(),
+                   backend.name) == query.excluded.end();
+}
+
+std::uint64_t Mix(std::uint64_t hash, std::uint64_t value) {
+  // Multiplier and shift of splitmix64 (Steele, Lea, Flood 2014).
+  hash = (hash ^ value) * 0xbf58476d1ce4e5b9ULL;
+  return hash ^ (hash >> 31U);
+}
+
+/// How the next stage is picked.
+enum class DrawMode {
+  kInTurn,        ///< In proportion to the shares, with little variance.
+  kRandom,        ///< In proportion to the shares.
+  kFollowPrefix,  ///< As kRandom, but drawn to engines with the prefix.
+};
+
+/// Draws chains for one request. FactorOf gives an engine's correction.
+template <class FactorOf>
+class ChainDraw {
+ public:
+  ChainDraw(std::mt19937_64& generator, const LoadEstimate& loads,
+            const LinkMap& links, PlannedDraws& draws,
+            const BackendsView& backends, const ChainQuery& query,
+            std::optional<Duration> stream_time, FactorOf factor_of,
+            TimePoint now)
+      : generator(generator),
+        loads(loads),
+        links(links),
+        draws(draws),
+        plan(draws.plan),
+        backends(backends),
+        query(query),
+        stream_time(stream_time),
+        factor_of(factor_of),
+        now(now),
+        groups(this->plan.groups.size()),
+        hop_shares(this->plan.groups.size() + 1) {}
+
+  Draft Draw(DrawMode mode) {
+    Draft draft;
+    std::uint32_t layer = 0;
+    std::size_t node = 0;
+    while (layer < this->query.model->layers) {
+      const std::size_t hop = this->PickHop(node, mode);
+      const std::size_t group = this->draws.HopsOf(node)[hop].group;
+      const std::size_t member = this->PickMember(group, mode);
+      draft.hops.push_back({node, hop});
+      draft.members.push_back({group, member});
+      draft.stages.push_back(this->MakeStage(group, member, layer));
+      layer = this->plan.groups[group].last_layer + 1;
+      node = group + 1;
+    }
+    this->Predict(draft);
+    return draft;
+  }
+
+  void Commit(const Draft& draft) {
+    for (const auto& pick : draft.hops) {
+      this->draws.hops[pick.node].Commit(this->HopShares(pick.node), pick.hop);
+    }
+    for (const auto& pick : draft.members) {
+      this->draws.members[pick.group].Commit(this->Load(pick.group).shares,
+                                             pick.member);
+    }
+  }
+
+ private:
+  struct GroupLoad {
+    std::vector<double> streams;  ///< By member.
+    std::vector<double> shares;   ///< Of the group's coming streams.
+    double total = 0;             ///< Streams of all members.
+    double inflow = 0;            ///< Planned tokens a second.
+    Seconds stream_time{};
+
+    /// Streams that end, and are replaced, before the next report is seen.
+    double Arrivals(double streams) const {
+      const Seconds horizon = kReportInterval;
+      return std::max(streams * (horizon / this->stream_time), 1.0);
+    }
+  };
+
+  const Backend& Member(std::size_t group, std::size_t member) const {
+    return this->backends.backends[this->plan.groups[group].members[member]];
+  }
+
+  double Belief(const Backend& engine) const {
+    return this->query.prefixes == nullptr || this->query.prefix_hash == 0
+               ? 0
+               : this->query.prefixes->Belief(
+                     engine.name, this->query.prefix_hash, this->now);
+  }
+
+  /// Member that most probably caches the prefix, and its belief.
+  std::pair<std::size_t, double> BestBelief(std::size_t group) const {
+    std::pair<std::size_t, double> best{0, 0};
+    for (std::size_t i = 0; i < this->plan.groups[group].members.size(); ++i) {
+      const double belief = this->Belief(this->Member(group, i));
+      if (belief > best.second) {
+        best = {i, belief};
+      }
+    }
+    return best;
+  }
+
+  Seconds StreamTime(const EngineGroup& group, double slots) const {
+    const Seconds predicted{std::max(this->query.expected_tokens, 1.0) * slots /
+                            static_cast<double>(group.members.size()) /
+                            group.TokensPerSecond()};
+    return this->stream_time ? Seconds(*this->stream_time) : predicted;
+  }
+
+  const GroupLoad& Load(std::size_t group) {
+    auto& load = this->groups[group];
+    if (load) {
+      return *load;
+    }
+    load.emplace();
+    const EngineGroup& engines = this->plan.groups[group];
+    double others = 0;
+    double slots = 0;
+    for (std::size_t i = 0; i < engines.members.size(); ++i) {
+      others += this->loads.Others(this->Member(group, i));
+      slots += std::max<std::uint32_t>(this->Member(group, i).slots, 1);
+    }
+    load->stream_time = this->StreamTime(engines, slots);
+    const LoadEstimate::Drift drift{others / slots, load->stream_time};
+    std::vector<double> capacities;
+    for (std::size_t i = 0; i < engines.members.size(); ++i) {
+      const Backend& engine = this->Member(group, i);
+      load->streams.push_back(this->loads.Streams(engine, drift, this->now));
+      load->total += load->streams.back();
+      capacities.push_back(std::max<std::uint32_t>(engine.slots, 1) /
+                           this->factor_of(engine.name));
+    }
+    load->shares = SharesOfArrivals(load->streams, capacities,
+                                    load->Arrivals(load->total));
+    for (std::size_t node = 0; node <= this->plan.groups.size(); ++node) {
+      for (const auto& hop : this->draws.HopsOf(node)) {
+        load->inflow += hop.group == group ? hop.tokens_per_second : 0;
+      }
+    }
+    return *load;
+  }
+
+  /// Probabilities of the hops behind a node: the planned flow, tilted
+  /// towards groups that have fewer streams than planned.
+  const std::vector<double>& HopShares(std::size_t node) {
+    auto& shares = this->hop_shares[node];
+    if (!shares.empty()) {
+      return shares;
+    }
+    const auto& hops = this->draws.HopsOf(node);
+    std::vector<double> streams;
+    std::vector<double> inflows;
+    double total = 0;
+    double inflow = 0;
+    for (const auto& hop : hops) {
+      const GroupLoad& load = this->Load(hop.group);
+      streams.push_back(load.total);
+      inflows.push_back(load.inflow);
+      total += load.total;
+      inflow += load.inflow;
+    }
+    const auto balanced = SharesOfArrivals(
+        streams, inflows, this->Load(hops.front().group).Arrivals(total));
+    double sum = 0;
+    for (std::size_t i = 0; i < hops.size(); ++i) {
+      const double tilt = balanced[i] / (inflows[i] / inflow);
+      shares.push_back(hops[i].tokens_per_second *
+                       std::clamp(tilt, 1 / kMostTilt, kMostTilt));
+      sum += shares.back();
+    }
+    for (auto& share : shares) {
+      share /= sum;
+    }
+    return shares;
+  }
+
+  std::size_t PickRandom(std::span<const double> shares) {
+    std::discrete_distribution<std::size_t> draw(shares.begin(), shares.end());
+    return draw(this->generator);
+  }
+
+  std::size_t PickHop(std::size_t node, DrawMode mode) {
+    const auto& shares = this->HopShares(node);
+    if (mode == DrawMode::kInTurn) {
+      return this->draws.hops[node].Next(shares);
+    }
+    if (mode == DrawMode::kRandom) {
+      return this->PickRandom(shares);
+    }
+    std::vector<double> pulled = shares;
+    for (std::size_t i = 0; i < pulled.size(); ++i) {
+      const std::size_t group = this->draws.HopsOf(node)[i].group;
+      pulled[i] *= 1 + kPrefixPull * this->BestBelief(group).second;
+    }
+    return this->PickRandom(pulled);
+  }
+
+  std::size_t PickMember(std::size_t group, DrawMode mode) {
+    const auto& shares = this->Load(group).shares;
+    if (mode == DrawMode::kInTurn) {
+      return this->draws.members[group].Next(shares);
+    }
+    const std::size_t drawn = this->PickRandom(shares);
+    if (mode == DrawMode::kFollowPrefix) {
+      const auto [believed, belief] = this->BestBelief(group);
+      if (belief > 0 && this->MakeStage(group, believed, 0).LoadLessPrefix() <
+                            this->MakeStage(group, drawn, 0).LoadLessPrefix()) {
+        return believed;
+      }
+    }
+    return drawn;
+  }
+
+  Stage MakeStage(std::size_t group, std::size_t member, std::uint32_t layer) {
+    Stage stage;
+    stage.engine = &this->Member(group, member);
+    stage.group = &this->plan.groups[group];
+    stage.first_layer = layer;
+    stage.streams = this->Load(group).streams[member];
+    stage.factor = this->factor_of(stage.engine->name);
+    stage.belief = this->Belief(*stage.engine);
+    return stage;
+  }
 
-  double Load(const Backend& engine) const {
-    const auto own = this->in_flight.find(engine.name);
-    const std::uint32_t streams =
-        own == this->in_flight.end() ? 0 : own->second;
-    return (static_cast<double>(engine.running) + engine.queued + streams) /
-           std::max<std::uint32_t>(engine.slots, 1);
+  Seconds LinkTime(const Draft& draft, std::size_t from) const {
+    const std::size_t to = (from + 1) % draft.stages.size();
+    const Link link = this->links.Between(draft.stages[from].group->location(),
+                                          draft.stages[to].group->location());
+    Seconds time = link.latency;
+    // The last hop carries a token back, not an activation.
+    if (to != 0 && link.bytes_per_second > 0) {
+      const double bytes =
+          static_cast<double>(this->query.model->activation_bytes);
+      time += Seconds(bytes / link.bytes_per_second);
+    }
+    return time;
   }
+
+  void Predict(Draft& draft) const {
+    double wait = 0;
+    for (std::size_t i = 0; i < draft.stages.size(); ++i) {
+      const Stage& stage = draft.stages[i];
+      draft.between_tokens += stage.Step();
+      if (draft.stages.size() > 1) {
+        draft.between_tokens += this->LinkTime(draft, i);
+      }
+      draft.first_token += stage.Prefill(this->query.prompt_tokens);
+      const double slots = std::max<std::uint32_t>(stage.engine->slots, 1);
+      wait = std::max(wait, (stage.streams + 1 - slots) / slots);
+      draft.load = std::max(draft.load, stage.Load());
+      draft.belief += stage.belief / static_cast<double>(draft.stages.size());
+    }
+    // A queued stream starts when a running one has ended.
+    draft.first_token +=
+        draft.between_tokens *
+        (1 + wait * std::max(this->query.expected_tokens, 1.0));
+  }
+
+  std::mt19937_64& generator;
+  const LoadEstimate& loads;
+  const LinkMap& links;
+  PlannedDraws& draws;
+  const PipelinePlan& plan;
+  const BackendsView& backends;
+  const ChainQuery& query;
+  std::optional<Duration> stream_time;
+  FactorOf factor_of;
+  TimePoint now;
+  std::vector<std::optional<GroupLoad>> groups;
+  std::vector<std::vector<double>> hop_shares;
 };
 
+/// A chain drawn at random is faster and no engine of it is busy.
+bool IsFaster(const Draft& other, const Draft& in_turn, double tokens) {
+  return other.load < kBusy && other.Total(tokens) < in_turn.Total(tokens);
+}
+
+/// A chain with cached prefixes is worth its load.
+bool IsWorthPrefix(const Draft& cached, const Draft& best, double tokens) {
+  if (cached.belief <= best.belief) {
+    return false;
+  }
+  if (std::max(cached.load, best.load) > kBusy) {
+    return cached.load - kPrefixLoad * (cached.belief - best.belief) <
+           best.load;
+  }
+  return cached.Total(tokens) < best.Total(tokens);
+}
+
+Chain ToChain(const Draft& draft) {
+  Chain chain;
+  for (const auto& stage : draft.stages) {
+    chain.stages.push_back(
+        {stage.engine->name, stage.engine->address, stage.first_layer,
+         stage.group->last_layer,
+         std::chrono::duration_cast<Duration>(stage.Step())});
+  }
+  chain.predicted_first_token =
+      std::chrono::duration_cast<Duration>(draft.first_token);
+  chain.predicted_between_tokens =
+      std::chrono::duration_cast<Duration>(draft.between_tokens);
+  return chain;
+}
+
+}  // namespace
+
+PlannedDraws& ChainRouter::State::PlanFor(const BackendsView& backends,
+                                          const ChainQuery& query) {
+  std::vector<std::size_t> usable;
+  std::uint64_t key = Hash64(query.model->name, query.model->layers);
+  key = Mix(key, query.model->activation_bytes);
+  for (const auto& kind : query.kinds) {
+    key = Mix(Mix(key, Hash64(kind.name)),
+              std::hash<double>{}(kind.layer_tokens_per_second));
+  }
+  for (std::size_t i = 0; i < backends.backends.size(); ++i) {
+    const Backend& backend = backends.backends[i];
+    if (IsUsable(backend, query)) {
+      usable.push_back(i);
+      const auto range =
+          (std::uint64_t{backend.first_layer} << 32U) | backend.last_layer;
+      key = Mix(Mix(Mix(key, i), Hash64(backend.name)), range);
+      key = Mix(key, Hash64(backend.availability_zone, Hash64(backend.kind)));
+    }
+  }
+  const auto found = this->plans.find(key);
+  if (found != this->plans.end()) {
+    return found->second;
+  }
+  if (this->plans.size() >= kMostPlans) {
+    this->plans.clear();
+  }
+  PlannedDraws draws(PlanPipeline(backends.backends, usable, *query.model,
+                                  query.kinds, this->links),
+                     this->generator);
+  return this->plans.emplace(key, std::move(draws)).first->second;
+}
+
 ChainRouter::ChainRouter(std::uint64_t seed)
     : state(std::make_unique<State>()) {
   this->state->generator.seed(seed);
@@ -50,101 +519,87 @@
 ChainRouter::~ChainRouter() = default;
 
 std::optional<Chain> ChainRouter::Choose(const BackendsView& backends,
-                                         const ChainQuery& query, TimePoint) {
+                                         const ChainQuery& query,
+                                         TimePoint now) {
+  this->state->latest = now;
   if (query.model == nullptr || query.model->layers == 0) {
     return std::nullopt;
   }
-  std::map<std::pair<std::uint32_t, std::uint32_t>, std::vector<const Backend*>>
-      replicas;
-  for (const auto& backend : backends.backends) {
-    const bool usable =
-        backend.role == BackendRole::kEngine &&
-        backend.model == query.model->name && backend.IsRoutable() &&
-        backend.first_layer <= backend.last_layer &&
-        backend.last_layer < query.model->layers &&
-        std::find(query.excluded.begin(), query.excluded.end(), backend.name) ==
-            query.excluded.end();
-    if (usable) {
-      replicas[{backend.first_layer, backend.last_layer}].push_back(&backend);
-    }
-  }
-  std::vector<Candidate> candidates;
-  for (auto& [range, engines] : replicas) {
-    std::shuffle(engines.begin(), engines.end(), this->state->generator);
-    engines.resize(std::min<std::size_t>(engines.size(), 2));
-    for (const auto* engine : engines) {
-      const auto seen = this->state->observed.find(engine->name);
-      const Seconds base = seen == this->state->observed.end()
-                               ? kUnknownLayerTime
-                               : seen->second;
-      candidates.push_back({engine, base * (1 + this->state->Load(*engine))});
-    }
-  }
-
-  const std::uint32_t layers = query.model->layers;
-  std::vector<Reached> reached(layers + 1);
-  reached[0].cost = 0;
-  for (std::uint32_t layer = 0; layer < layers; ++layer) {
-    for (const auto& candidate : candidates) {
-      if (candidate.engine->first_layer > layer ||
-          candidate.engine->last_layer < layer) {
-        continue;
-      }
-      for (std::uint32_t end = layer + 1;
-           end <= candidate.engine->last_layer + 1; ++end) {
-        const double cost = reached[layer].cost +
-                            candidate.layer_time.count() * (end - layer) +
-                            kUnknownLayerTime.count();
-        if (cost < reached[end].cost) {
-          reached[end] = {cost, layer, &candidate};
-        }
-      }
-    }
-  }
-  if (reached[layers].by == nullptr) {
+  PlannedDraws& draws = this->state->PlanFor(backends, query);
+  if (draws.plan.entries.empty()) {
     return std::nullopt;
   }
-  Chain chain;
-  for (std::uint32_t end = layers; end > 0; end = reached[end].from) {
-    const Backend& engine = *reached[end].by->engine;
-    chain.stages.push_back(
-        {engine.name, engine.address, reached[end].from, end - 1});
-  }
-  std::reverse(chain.stages.begin(), chain.stages.end());
-  // An engine keeps one KV cache per request, so it must not appear twice; its
-  // range is contiguous, so it can run what lies between its two stages.
-  for (std::size_t i = 0; i < chain.stages.size(); ++i) {
-    for (std::size_t j = chain.stages.size() - 1; j > i; --j) {
-      if (chain.stages[i].engine == chain.stages[j].engine) {
-        chain.stages[i].last_layer = chain.stages[j].last_layer;
-        chain.stages.erase(chain.stages.begin() + i + 1,
-                           chain.stages.begin() + j + 1);
-        break;
-      }
+  const auto factor_of = [&](std::string_view engine) {
+    return this->state->Factor(engine, now);
+  };
+  ChainDraw draw(this->state->generator, this->state->loads, this->state->links,
+                 draws, backends, query, this->state->stream_time, factor_of,
+                 now);
+  Draft best = draw.Draw(DrawMode::kInTurn);
+  Draft other = draw.Draw(DrawMode::kRandom);
+  if (IsFaster(other, best, query.expected_tokens)) {
+    best = std::move(other);
+  }
+  if (query.prefixes != nullptr && query.prefix_hash != 0) {
+    Draft cached = draw.Draw(DrawMode::kFollowPrefix);
+    if (IsWorthPrefix(cached, best, query.expected_tokens)) {
+      best = std::move(cached);
     }
   }
-  const auto time =
-      std::chrono::duration_cast<Duration>(Seconds(reached[layers].cost));
-  chain.predicted_between_tokens = time;
-  chain.predicted_first_token = time;
-  return chain;
+  draw.Commit(best);
+  return ToChain(best);
+}
+
+void ChainRouter::SetStreamTime(Duration mean) {
+  if (mean > Duration::zero()) {
+    this->state->stream_time = mean;
+  }
 }
 
-void ChainRouter::OnStarted(const Chain& chain, TimePoint) {
+void ChainRouter::OnStarted(const Chain& chain, TimePoint now) {
   for (const auto& stage : chain.stages) {
-    ++this->state->in_flight[stage.engine];
+    this->state->loads.OnStarted(stage.engine, now);
+    auto& correction = this->state->corrections[stage.engine];
+    correction.predicted_step = stage.predicted_step;
   }
 }
 
-void ChainRouter::OnFinished(const Chain& chain, TimePoint) {
+void ChainRouter::OnFinished(const Chain& chain, TimePoint now) {
   for (const auto& stage : chain.stages) {
-    const auto found = this->state->in_flight.find(stage.engine);
-    if (found != this->state->in_flight.end() && --found->second == 0) {
-      this->state->in_flight.erase(found);
-    }
+    this->state->loads.OnFinished(stage.engine, now);
+  }
+}
+
+void ChainRouter::OnObserved(std::string_view engine, Duration between_tokens) {
+  const auto found = this->state->corrections.find(engine);
+  if (found == this->state->corrections.end() ||
+      between_tokens <= Duration::zero() ||
+      found->second.predicted_step <= Seconds::zero()) {
+    return;
+  }
+  const double deviation =
+      Seconds(between_tokens) / found->second.predicted_step;
+  found->second.Add(std::log(deviation), this->state->latest);
+}
+
+void ChainRouter::OnObserved(const Chain& chain, Duration between_tokens) {
+  if (between_tokens <= Duration::zero() ||
+      chain.predicted_between_tokens <= Duration::zero()) {
+    return;
+  }
+  const double deviation =
+      Seconds(between_tokens) / Seconds(chain.predicted_between_tokens);
+  for (const auto& stage : chain.stages) {
+    const double part =
+        Seconds(stage.predicted_step) / Seconds(chain.predicted_between_tokens);
+    this->state->corrections[stage.engine].Add(part * std::log(deviation),
+                                               this->state->latest);
   }
 }
 
-void ChainRouter::OnObserved(std::string_view, Duration) {}
+void ChainRouter::SetLinks(const LinkMap& links) {
+  this->state->links = links;
+  this->state->plans.clear();
+}
 
 }  // namespace qp::policy
--- a/packages/policy/src/policy/chain_router.h
+++ b/packages/policy/src/policy/chain_router.h
@@ -15,12 +15,16 @@
 
 namespace qp::policy {
 
+class LinkMap;
+class PrefixIndex;
+
 /// One engine of a chain and the layers that it runs for the request.
 struct ChainStage {
   std::string engine;
   std::string address;
   std::uint32_t first_layer = 0;
   std::uint32_t last_layer = 0;  ///< Inclusive.
+  Duration predicted_step{};     ///< Time of one token on this stage.
 };
 
 /// Stages that together run each layer of a model once, in order.
@@ -35,11 +39,20 @@
   std::uint64_t prefix_hash = 0;  ///< Of the prompt's prefix; 0 if none.
   double expected_tokens = 0;
   std::span<const std::string> excluded;  ///< Engines that failed it before.
+  double prompt_tokens = 0;
+  /// Speeds by kind; an engine of another kind has an assumed speed.
+  std::span<const AcceleratorKind> kinds;
+  const PrefixIndex* prefixes = nullptr;
 };
 
-/// Chooses chains by predicted time over the whole chain. Load reports lag, so
-/// they are corrected by what this daemon itself has in flight; a random pair
-/// of candidates keeps many daemons from choosing the same engine.
+/// Chooses chains by predicted time over the whole chain. Stages are drawn with
+/// the probabilities of the maximum flow, corrected by load: reports lag, so
+/// that they are combined with this daemon's own streams in flight and with
+/// the streams that other daemons send before the next report, which keeps
+/// many daemons from choosing the engine that last looked idle. While engines
+/// are not busy, the faster of two drawn chains is taken. A third chain follows
+/// the prefix cache; it is taken only while its engines are not much more
+/// loaded, so that a wrong belief costs little.
 class ChainRouter {
  public:
   explicit ChainRouter(std::uint64_t seed);
@@ -49,19 +62,30 @@
   std::optional<Chain> Choose(const BackendsView& backends,
                               const ChainQuery& query, TimePoint now);
 
+  /// Mean duration of the streams, for the rate at which load changes. Until
+  /// it is set, durations are predicted.
+  void SetStreamTime(Duration mean);
+
   /// Counts a stream in flight on each stage of `chain` until OnFinished.
   void OnStarted(const Chain& chain, TimePoint now);
   void OnFinished(const Chain& chain, TimePoint now);
 
-  /// Learns from an observed time; corrects the prediction for the engine.
+  /// Learns from an observed time of one token on the engine's own stage.
   void OnObserved(std::string_view engine, Duration between_tokens);
+  /// Learns from an observed time between tokens of the whole chain; the
+  /// stages share the deviation by their part of the predicted time.
+  void OnObserved(const Chain& chain, Duration between_tokens);
+
+  /// Measured links; pairs of zones without one have an assumed link.
+  void SetLinks(const LinkMap& links);
 
  private:
   struct State;
   std::unique_ptr<State> state;
 };
 
-/// Chooses a server of a plain service: the less loaded of a random pair.
+/// Chooses a server of a plain service: the less loaded of a random pair, by
+/// the last report as far as it is still recent and this daemon's own calls.
 class ServiceRouter {
  public:
   explicit ServiceRouter(std::uint64_t seed);
--- /dev/null
+++ b/packages/policy/src/policy/pipeline_plan.cc
@@ -0,0 +1,186 @@
+#include "policy/pipeline_plan.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <set>
+#include <tuple>
+#include <utility>
+
+#include "policy/max_flow.h"
+
+namespace qp::policy {
+
+namespace {
+
+/// Flow units per token a second; keeps rounding below 0.1% at 1 token/s.
+constexpr double kUnits = 1000;
+/// Links without a bound must not overflow the sum of capacities.
+constexpr double kMostUnits = 1e15;
+/// Steps of halving when the load of a range is evened out, to about 1%.
+constexpr int kEveningSteps = 7;
+
+std::int64_t ToUnits(double tokens_per_second) {
+  return std::max<std::int64_t>(
+      std::llround(std::min(tokens_per_second * kUnits, kMostUnits)), 1);
+}
+
+std::vector<EngineGroup> GroupEngines(std::span<const Backend> backends,
+                                      std::span<const std::size_t> usable,
+                                      std::span<const AcceleratorKind> kinds) {
+  using Key = std::tuple<std::uint32_t, std::uint32_t, std::string_view,
+                         std::string_view, std::string_view>;
+  std::map<Key, EngineGroup> groups;
+  for (const auto index : usable) {
+    const Backend& engine = backends[index];
+    const Key key{engine.first_layer, engine.last_layer, engine.region,
+                  engine.availability_zone, engine.kind};
+    groups[key].members.push_back(index);
+  }
+  std::vector<EngineGroup> result;
+  for (auto& [key, group] : groups) {
+    std::tie(group.first_layer, group.last_layer, group.region,
+             group.availability_zone, group.kind) = key;
+    const auto kind = std::find_if(
+        kinds.begin(), kinds.end(),
+        [name = std::string_view(group.kind)](const auto& candidate) {
+          return candidate.name == name;
+        });
+    const bool known = kind != kinds.end() && kind->layer_tokens_per_second > 0;
+    group.layer_tokens_per_second =
+        known ? kind->layer_tokens_per_second : kUnknownLayerTokensPerSecond;
+    result.push_back(std::move(group));
+  }
+  return result;
+}
+
+/// Flow network of the groups. By symmetry the members of a group can share
+/// its flow equally, so that the grouped maximum equals that of all engines.
+class GroupNetwork {
+ public:
+  GroupNetwork(std::span<const EngineGroup> groups, const ModelSpec& model,
+               const LinkMap& links)
+      : flow(2 + 2 * groups.size()), groups(groups) {
+    for (std::size_t i = 0; i < groups.size(); ++i) {
+      this->engine_edges.push_back(
+          this->flow.AddEdge(In(i), Out(i), this->Capacity(i)));
+      if (groups[i].first_layer == 0) {
+        this->entry_edges.emplace_back(
+            i, this->flow.AddEdge(kSource, In(i), ToUnits(kMostUnits)));
+      }
+      if (groups[i].last_layer + 1 == model.layers) {
+        this->flow.AddEdge(Out(i), kSink, ToUnits(kMostUnits));
+      } else {
+        this->AddLinks(i, model, links);
+      }
+    }
+  }
+
+  std::int64_t Solve() { return this->flow.Solve(kSource, kSink); }
+
+  /// Lowers the capacity of each layer range, one after the other, as far as
+  /// the maximum stays the same. Otherwise a range with capacity to spare may
+  /// have some engines full and others idle.
+  void EvenOut(std::int64_t maximum) {
+    std::set<std::pair<std::uint32_t, std::uint32_t>> ranges;
+    for (const auto& group : this->groups) {
+      ranges.emplace(group.first_layer, group.last_layer);
+    }
+    for (const auto& range : ranges) {
+      double low = 0;
+      double high = 1;
+      for (int step = 0; step < kEveningSteps; ++step) {
+        const double middle = (low + high) / 2;
+        this->Scale(range, middle);
+        (this->Solve() == maximum ? high : low) = middle;
+      }
+      this->Scale(range, high);
+    }
+    this->Solve();
+  }
+
+  void ReadInto(PipelinePlan& plan) const {
+    for (const auto& [group, edge] : this->entry_edges) {
+      Append(plan.entries, group, this->flow.FlowOn(edge));
+    }
+    plan.next.resize(this->groups.size());
+    for (const auto& [from, to, edge] : this->link_edges) {
+      Append(plan.next[from], to, this->flow.FlowOn(edge));
+    }
+  }
+
+ private:
+  static constexpr MaxFlow::Node kSource = 0;
+  static constexpr MaxFlow::Node kSink = 1;
+  static MaxFlow::Node In(std::size_t group) { return 2 + 2 * group; }
+  static MaxFlow::Node Out(std::size_t group) { return 3 + 2 * group; }
+
+  static void Append(std::vector<GroupHop>& hops, std::size_t group,
+                     std::int64_t units) {
+    if (units > 0) {
+      hops.push_back({group, static_cast<double>(units) / kUnits});
+    }
+  }
+
+  std::int64_t Capacity(std::size_t group) const {
+    return ToUnits(this->groups[group].TokensPerSecond() *
+                   static_cast<double>(this->groups[group].members.size()));
+  }
+
+  void AddLinks(std::size_t from, const ModelSpec& model,
+                const LinkMap& links) {
+    const EngineGroup& sender = this->groups[from];
+    for (std::size_t to = 0; to < this->groups.size(); ++to) {
+      const EngineGroup& receiver = this->groups[to];
+      const std::uint32_t layer = sender.last_layer + 1;
+      if (receiver.first_layer > layer || receiver.last_layer < layer) {
+        continue;
+      }
+      const Link link = links.Between(sender.location(), receiver.location());
+      const double pairs = static_cast<double>(sender.members.size()) *
+                           static_cast<double>(receiver.members.size());
+      const double bytes = std::max<double>(model.activation_bytes, 1);
+      this->link_edges.emplace_back(
+          from, to,
+          this->flow.AddEdge(Out(from), In(to),
+                             ToUnits(pairs * link.bytes_per_second / bytes)));
+    }
+  }
+
+  void Scale(const std::pair<std::uint32_t, std::uint32_t>& range,
+             double factor) {
+    for (std::size_t i = 0; i < this->groups.size(); ++i) {
+      if (this->groups[i].first_layer == range.first &&
+          this->groups[i].last_layer == range.second) {
+        const double units = factor * static_cast<double>(this->Capacity(i));
+        this->flow.SetCapacity(this->engine_edges[i],
+                               static_cast<std::int64_t>(std::ceil(units)));
+      }
+    }
+  }
+
+  MaxFlow flow;
+  std::span<const EngineGroup> groups;
+  std::vector<MaxFlow::Edge> engine_edges;
+  std::vector<std::pair<std::size_t, MaxFlow::Edge>> entry_edges;
+  std::vector<std::tuple<std::size_t, std::size_t, MaxFlow::Edge>> link_edges;
+};
+
+}  // namespace
+
+PipelinePlan PlanPipeline(std::span<const Backend> backends,
+                          std::span<const std::size_t> usable,
+                          const ModelSpec& model,
+                          std::span<const AcceleratorKind> kinds,
+                          const LinkMap& links) {
+  PipelinePlan plan;
+  plan.groups = GroupEngines(backends, usable, kinds);
+  GroupNetwork network(plan.groups, model, links);
+  const std::int64_t maximum = network.Solve();
+  network.EvenOut(maximum);
+  network.ReadInto(plan);
+  plan.tokens_per_second = static_cast<double>(maximum) / kUnits;
+  return plan;
+}
+
+}  // namespace qp::policy
--- a/packages/policy/src/policy/service_router.cc
+++ b/packages/policy/src/policy/service_router.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <map>
 #include <random>
@@ -8,16 +9,33 @@
 namespace qp::policy {
 
 struct ServiceRouter::State {
+  struct Own {
+    std::uint32_t in_flight = 0;
+    /// Calls of this daemon that ended since the report last changed.
+    double finished_since_report = 0;
+    std::uint32_t reported = 0;
+    TimePoint reported_at{};
+  };
+
   std::mt19937_64 generator;
-  std::map<std::string, std::uint32_t, std::less<>> in_flight;
+  std::map<std::string, Own, std::less<>> servers;
 
-  /// Calls per slot: the report, or this daemon's own calls where they are
-  /// already more than the lagging report says.
-  double Load(const Backend& server) const {
-    const auto own = this->in_flight.find(server.name);
-    const std::uint32_t calls = own == this->in_flight.end() ? 0 : own->second;
+  /// Calls per slot. The report counts less the more calls have ended since:
+  /// by Little's law, ended calls over calls in flight is the age of the
+  /// report in durations of a call.
+  double Load(const Backend& server) {
+    Own& own = this->servers[server.name];
+    if (own.reported_at != server.reported_at) {
+      own.reported_at = server.reported_at;
+      own.finished_since_report = 0;
+      own.reported = own.in_flight;
+    }
     const double reported = static_cast<double>(server.running) + server.queued;
-    return (reported + calls) / std::max<std::uint32_t>(server.slots, 1);
+    const double others = std::max(reported - own.reported, 0.0);
+    const double age =
+        own.finished_since_report / std::max<double>(own.in_flight, 1);
+    return (own.in_flight + others * std::exp(-age)) /
+           std::max<std::uint32_t>(server.slots, 1);
   }
 };
 
@@ -58,19 +76,14 @@
 }
 
 void ServiceRouter::OnStarted(std::string_view server) {
-  auto& calls = this->state->in_flight;
-  const auto found = calls.find(server);
-  if (found == calls.end()) {
-    calls.emplace(server, 1);
-  } else {
-    ++found->second;
-  }
+  ++this->state->servers[std::string(server)].in_flight;
 }
 
 void ServiceRouter::OnFinished(std::string_view server) {
-  const auto found = this->state->in_flight.find(server);
-  if (found != this->state->in_flight.end() && --found->second == 0) {
-    this->state->in_flight.erase(found);
+  const auto found = this->state->servers.find(server);
+  if (found != this->state->servers.end() && found->second.in_flight > 0) {
+    --found->second.in_flight;
+    ++found->second.finished_since_report;
   }
 }
 
--- a/packages/policy/tests/policy/admission_test.cc
+++ b/packages/policy/tests/policy/admission_test.cc
@@ -14,7 +14,6 @@
 using qp::TimePoint;
 using qp::policy::Admission;
 using qp::policy::AdmissionRequest;
-using qp::policy::RefusalReason;
 
 Configuration OneClass(double requests_per_second) {
   Configuration configuration;
--- a/packages/policy/tests/policy/chain_router_test.cc
+++ b/packages/policy/tests/policy/chain_router_test.cc
@@ -11,7 +11,6 @@
 using qp::BackendsView;
 using qp::ModelSpec;
 using qp::TimePoint;
-using qp::policy::Chain;
 using qp::policy::ChainQuery;
 using qp::policy::ChainRouter;
 using qp::policy::ServiceRouter;
--- /dev/null
+++ b/packages/policy/tests/policy/herd_test.cc
@@ -0,0 +1,216 @@
+#include <catch2/catch.hpp>
+#include <deque>
+#include <functional>
+#include <queue>
+#include <random>
+
+#include "policy/chain_router.h"
+
+namespace {
+
+using namespace std::chrono_literals;
+using qp::Backend;
+using qp::BackendsView;
+using qp::Duration;
+using qp::TimePoint;
+using qp::policy::Chain;
+using qp::policy::ChainQuery;
+using qp::policy::ChainRouter;
+
+constexpr std::size_t kEngines = 12;
+constexpr std::uint32_t kSlots = 16;
+constexpr double kStreamSeconds = 2;
+constexpr double kLoad = 0.85;
+constexpr double kRunSeconds = 120;
+/// Reports are taken at this interval and are all seen at the same time.
+constexpr double kReportSeconds = 1;
+
+/// Chooses an engine for a request that reached `daemon`.
+using Policy = std::function<std::size_t(int daemon, const BackendsView& view,
+                                         TimePoint now)>;
+using Finished =
+    std::function<void(int daemon, std::size_t engine, TimePoint now)>;
+
+struct Outcome {
+  double mean_wait = 0;      ///< Seconds in an engine's queue.
+  double largest_share = 0;  ///< Of arrivals within one report interval.
+};
+
+TimePoint At(double seconds) {
+  return TimePoint{} + std::chrono::duration_cast<Duration>(
+                           std::chrono::duration<double>(seconds));
+}
+
+/// Engines with slots and a first-come queue; daemons see reports that lag.
+Outcome Run(int daemons, const Policy& policy, const Finished& finished) {
+  struct Ending {
+    double at = 0;
+    std::size_t engine = 0;
+    int daemon = 0;
+    bool operator>(const Ending& other) const { return this->at > other.at; }
+  };
+  struct Waiting {
+    double since = 0;
+    int daemon = 0;
+  };
+  std::mt19937_64 generator(11);
+  std::exponential_distribution<double> gap(kLoad * kEngines * kSlots /
+                                            kStreamSeconds);
+  std::exponential_distribution<double> length(1 / kStreamSeconds);
+  std::uniform_int_distribution<int> any_daemon(0, daemons - 1);
+  std::priority_queue<Ending, std::vector<Ending>, std::greater<>> endings;
+  std::vector<std::deque<Waiting>> queues(kEngines);
+  std::vector<std::uint32_t> running(kEngines);
+  std::vector<int> arrivals(kEngines);
+  BackendsView view;
+  for (std::size_t i = 0; i < kEngines; ++i) {
+    Backend engine;
+    engine.name = "engine-" + std::to_string(100 + i);
+    engine.model = "m";
+    engine.last_layer = 3;
+    engine.slots = kSlots;
+    view.backends.push_back(engine);
+  }
+  Outcome outcome;
+  double waited = 0;
+  int started = 0;
+  int intervals = 0;
+  double next_report = 0;
+  double now = gap(generator);
+  const auto start = [&](std::size_t engine, int daemon, double since) {
+    ++running[engine];
+    ++started;
+    waited += now - since;
+    endings.push({now + length(generator), engine, daemon});
+  };
+  while (now < kRunSeconds) {
+    const double arrival = now;
+    while (!endings.empty() && endings.top().at <= arrival) {
+      const Ending ending = endings.top();
+      endings.pop();
+      now = ending.at;
+      --running[ending.engine];
+      finished(ending.daemon, ending.engine, At(now));
+      auto& queue = queues[ending.engine];
+      if (!queue.empty()) {
+        const Waiting first = queue.front();
+        queue.pop_front();
+        start(ending.engine, first.daemon, first.since);
+      }
+    }
+    now = arrival;
+    if (now >= next_report) {
+      int total = 0;
+      int largest = 0;
+      for (std::size_t i = 0; i < kEngines; ++i) {
+        view.backends[i].running = running[i];
+        view.backends[i].queued = static_cast<std::uint32_t>(queues[i].size());
+        view.backends[i].reported_at = At(now);
+        total += arrivals[i];
+        largest = std::max(largest, arrivals[i]);
+        arrivals[i] = 0;
+      }
+      if (total > 0) {
+        outcome.largest_share += static_cast<double>(largest) / total;
+        ++intervals;
+      }
+      next_report += kReportSeconds;
+    }
+    const int daemon = any_daemon(generator);
+    const std::size_t engine = policy(daemon, view, At(now));
+    ++arrivals[engine];
+    if (running[engine] < kSlots) {
+      start(engine, daemon, now);
+    } else {
+      queues[engine].push_back({now, daemon});
+    }
+    now += gap(generator);
+  }
+  outcome.mean_wait = waited / started;
+  outcome.largest_share /= intervals;
+  return outcome;
+}
+
+Outcome RunRouter(int daemons) {
+  std::vector<std::unique_ptr<ChainRouter>> routers;
+  routers.reserve(daemons);
+  for (int i = 0; i < daemons; ++i) {
+    routers.push_back(std::make_unique<ChainRouter>(i));
+  }
+  const qp::ModelSpec model{"m", 4, 0, 16384};
+  // Capacity of one engine such that full batches last kStreamSeconds.
+  const std::vector<qp::AcceleratorKind> kinds{
+      {"", 0, 4 * 100 * kSlots / kStreamSeconds}};
+  const auto chain_on = [](std::size_t engine) {
+    Chain chain;
+    chain.stages.push_back(
+        {"engine-" + std::to_string(100 + engine), "", 0, 3, {}});
+    return chain;
+  };
+  return Run(
+      daemons,
+      [&](int daemon, const BackendsView& view, TimePoint now) {
+        ChainQuery query;
+        query.model = &model;
+        query.kinds = kinds;
+        query.expected_tokens = 100;
+        const auto chain = routers[daemon]->Choose(view, query, now);
+        routers[daemon]->OnStarted(*chain, now);
+        return std::stoul(chain->stages[0].engine.substr(7)) - 100;
+      },
+      [&](int daemon, std::size_t engine, TimePoint now) {
+        routers[daemon]->OnFinished(chain_on(engine), now);
+      });
+}
+
+}  // namespace
+
+// Guards against many daemons that send their work to the engine which was
+// idle in the last report that all of them saw.
+TEST_CASE("Daemons do not herd, and wait less than with the baselines",
+          "[router][herd]") {
+  const int daemons = GENERATE(8, 380);
+  const auto ignore = [](int, std::size_t, TimePoint) {};
+  std::mt19937_64 generator(3);
+  std::uniform_int_distribution<std::size_t> any(0, kEngines - 1);
+  const auto random = Run(
+      daemons,
+      [&](int, const BackendsView&, TimePoint) { return any(generator); },
+      ignore);
+  // Daemons are not synchronized, so each starts its round elsewhere.
+  std::vector<std::size_t> next(daemons);
+  for (auto& engine : next) {
+    engine = any(generator);
+  }
+  const auto round_robin = Run(
+      daemons,
+      [&](int daemon, const BackendsView&, TimePoint) {
+        return next[daemon]++ % kEngines;
+      },
+      ignore);
+  const auto least_reported = Run(
+      daemons,
+      [&](int, const BackendsView& view, TimePoint) {
+        std::size_t least = 0;
+        for (std::size_t i = 1; i < kEngines; ++i) {
+          const auto& best = view.backends[least];
+          const auto& engine = view.backends[i];
+          if (engine.running + engine.queued < best.running + best.queued) {
+            least = i;
+          }
+        }
+        return least;
+      },
+      ignore);
+  const auto routed = RunRouter(daemons);
+  CAPTURE(daemons, routed.mean_wait, random.mean_wait, round_robin.mean_wait,
+          least_reported.mean_wait, routed.largest_share,
+          least_reported.largest_share);
+  CHECK(routed.mean_wait < random.mean_wait);
+  CHECK(routed.mean_wait < round_robin.mean_wait);
+  CHECK(routed.mean_wait < 0.5 * least_reported.mean_wait);
+  // A random pair gives one engine at most twice its even share on average;
+  // the rest is the spread of random arrivals.
+  CHECK(routed.largest_share < 3.0 / kEngines);
+  CHECK(least_reported.largest_share > 0.9);
+}
