Give unused share to classes that ask for more; settle and bound loans

A class that was idle left its share unused while another of the same model was refused. Credits that a class leaves go to short classes of the same model or service, unless other daemons report a shortage of the idle class. Loans to new workspaces are bounded by one second of rate.

--- a/packages/policy/src/policy/admission.cc
+++ b/packages/policy/src/policy/admission.cc
@@ -25,6 +25,10 @@
 constexpr Seconds kRefusalMemory{3.0};
 constexpr Seconds kLeastRetryAfter{0.5};
 constexpr Seconds kMostRetryAfter{30.0};
+/// A class with fewer refusals of late than this asks for no more.
+constexpr double kShortRefusals = 0.5;
+/// Credits are given out at most this often; the cost grows with workspaces.
+constexpr Seconds kRefillInterval{0.002};
 constexpr std::size_t kDimensions = 2;
 
 /// Requests and tokens, in that order.
@@ -100,7 +104,7 @@
       }
     }
     const Seconds elapsed = now - this->refilled_at;
-    if (elapsed <= Seconds::zero()) {
+    if (elapsed < kRefillInterval) {
       return surplus;
     }
     this->refilled_at = now;
@@ -116,9 +120,7 @@
     if (found == this->workspaces.end()) {
       found = this->workspaces.emplace(name, WorkspaceState{}).first;
       for (std::size_t d = 0; d < kDimensions; ++d) {
-        // Lent, so that a newcomer does not start behind those already here.
-        found->second.level[d] = this->WorkspaceCap(d);
-        this->debt[d] += found->second.level[d];
+        this->Lend(found->second, d);
       }
     }
     found->second.asked_at = now;
@@ -146,9 +148,25 @@
     }
   }
 
-  WorkspaceState* Find(std::string_view name) {
+  /// Returns tokens that were charged, or charges more if negative.
+  void Refund(std::string_view name, double tokens) {
     const auto found = this->workspaces.find(name);
-    return found == this->workspaces.end() ? nullptr : &found->second;
+    if (found == this->workspaces.end()) {
+      this->Return(1, tokens);
+    } else {
+      found->second.level[1] += tokens;
+    }
+  }
+
+  /// Takes what other classes leave unused.
+  void AddSurplus(const Amounts& surplus) {
+    for (std::size_t d = 0; d < kDimensions; ++d) {
+      this->Distribute(d, surplus[d]);
+    }
+  }
+
+  bool IsShort(TimePoint now) const {
+    return this->HasShare() && this->refusals.At(now) > kShortRefusals;
   }
 
   bool HasShare() const {
@@ -194,6 +212,7 @@
   std::string pool;
   DecayingCount refusals;
   bool configured = false;
+  double shortage_elsewhere = 0;  ///< Requests a second.
 
  private:
   static constexpr double kRounding = 1e-9;
@@ -219,6 +238,17 @@
                     kLeastBurstRequests * this->UnitRequest(d));
   }
 
+  /// Gives a newcomer one request ahead of the next credits, so that it does
+  /// not start behind those already here. Bounded, so that many newcomers do
+  /// not take the credits of a long time.
+  void Lend(WorkspaceState& newcomer, std::size_t d) {
+    const double wanted = std::max(this->UnitRequest(d) - this->spare[d], 0.0);
+    const double lent =
+        std::clamp(this->ClassCap(d) - this->debt[d], 0.0, wanted);
+    newcomer.level[d] = lent;
+    this->debt[d] += lent;
+  }
+
   /// Returns what idle workspaces hold, positive or negative, to the class.
   void RetireIdle(TimePoint now) {
     for (auto it = this->workspaces.begin(); it != this->workspaces.end();) {
@@ -236,6 +266,12 @@
     }
   }
 
+  void Return(std::size_t d, double level) {
+    this->debt[d] += std::max(-level, 0.0);
+    this->spare[d] =
+        std::min(this->spare[d] + std::max(level, 0.0), this->ClassCap(d));
+  }
+
   /// Max-min distribution of `amount`: equal parts up to each bucket's cap.
   double Distribute(std::size_t d, double amount) {
     const double repaid = std::min(this->debt[d], amount);
@@ -272,12 +308,47 @@
   std::map<std::string, WorkspaceState, std::less<>> workspaces;
 };
 
+/// Whether the predicted answer ends after the deadline.
+bool IsTooLate(const AdmissionRequest& request) {
+  const Seconds predicted = Seconds(request.predicted_first_token) +
+                            Seconds(request.predicted_between_tokens) *
+                                std::max(request.expected_tokens - 1, 0.0);
+  return request.deadline > Duration::zero() &&
+         predicted > Seconds(request.deadline);
+}
+
 }  // namespace
 
 struct Admission::State {
   std::mt19937_64 generator;
   std::map<std::string, ClassBuckets, std::less<>> classes;
 
+  /// Credits the classes of a pool. What some leave unused goes in equal
+  /// parts to those that ask for more; own credits always come first, so no
+  /// class has surplus before the target of another is met.
+  void Refill(std::string_view pool, TimePoint now) {
+    Amounts surplus{};
+    std::vector<ClassBuckets*> short_classes;
+    for (auto& [name, buckets] : this->classes) {
+      if (buckets.pool != pool) {
+        continue;
+      }
+      const Amounts unused = buckets.Refill(now);
+      for (std::size_t d = 0; d < kDimensions; ++d) {
+        surplus[d] += buckets.shortage_elsewhere > 0 ? 0 : unused[d];
+      }
+      if (buckets.IsShort(now)) {
+        short_classes.push_back(&buckets);
+      }
+    }
+    for (auto& amount : surplus) {
+      amount /= std::max<double>(short_classes.size(), 1);
+    }
+    for (auto* buckets : short_classes) {
+      buckets->AddSurplus(surplus);
+    }
+  }
+
   Duration Spread(Seconds least, Seconds width) {
     std::uniform_real_distribution<double> draw(0, 1);
     const Seconds wait = least + width * draw(this->generator);
@@ -317,39 +388,34 @@
     return {RefusalReason::kUnknownClass, {}};
   }
   auto& buckets = found->second;
-  buckets.Refill(now);
-  const Amounts cost{1, request.expected_tokens};
-
-  const Seconds predicted = Seconds(request.predicted_first_token) +
-                            Seconds(request.predicted_between_tokens) *
-                                std::max(request.expected_tokens - 1, 0.0);
-  if (request.deadline > Duration::zero() &&
-      predicted > Seconds(request.deadline)) {
+  this->state->Refill(buckets.pool, now);
+  if (IsTooLate(request)) {
     return {RefusalReason::kDeadlineTooShort,
             this->state->Spread(kLeastRetryAfter, kLeastRetryAfter)};
   }
-  if (buckets.HasShare()) {
-    auto& workspace = buckets.Enter(request.workspace, now);
-    if (buckets.Covers(workspace, cost)) {
-      buckets.Charge(workspace, cost);
-      return {};
-    }
-    const auto reason = buckets.OthersCover(cost)
-                            ? RefusalReason::kWorkspaceOverShare
-                            : RefusalReason::kClassOverTarget;
+  if (!buckets.HasShare()) {
     buckets.refusals.Add(now);
-    const Seconds wait = buckets.UntilCovered(workspace, cost);
-    // The refused of the last seconds return over the time that the class
-    // needs to serve them.
-    const Seconds backlog{buckets.refusals.At(now) / buckets.RequestRate()};
-    const Seconds width =
-        std::clamp(std::max(wait, backlog), kLeastRetryAfter, kMostRetryAfter);
-    return {reason,
-            this->state->Spread(std::max(wait, kLeastRetryAfter), width)};
+    return {RefusalReason::kClassOverTarget,
+            this->state->Spread(kLeastRetryAfter, kLeastRetryAfter)};
+  }
+  const Amounts cost{1, request.expected_tokens};
+  auto& workspace = buckets.Enter(request.workspace, now);
+  if (buckets.Covers(workspace, cost)) {
+    buckets.Charge(workspace, cost);
+    return {};
   }
   buckets.refusals.Add(now);
-  return {RefusalReason::kClassOverTarget,
-          this->state->Spread(kLeastRetryAfter, kLeastRetryAfter)};
+  const auto reason = buckets.OthersCover(cost)
+                          ? RefusalReason::kWorkspaceOverShare
+                          : RefusalReason::kClassOverTarget;
+  const Seconds least = std::clamp(buckets.UntilCovered(workspace, cost),
+                                   kLeastRetryAfter, kMostRetryAfter);
+  // The refused of the last seconds return over the time that the class needs
+  // to serve them.
+  const Seconds backlog{buckets.refusals.At(now) /
+                        std::max(buckets.RequestRate(), 1e-3)};
+  return {reason, this->state->Spread(
+                      least, std::clamp(backlog, least, kMostRetryAfter))};
 }
 
 void Admission::Settle(std::string_view class_name, std::string_view workspace,
@@ -358,8 +424,14 @@
   if (found == this->state->classes.end()) {
     return;
   }
-  if (auto* known = found->second.Find(workspace)) {
-    known->level[1] += expected_tokens - actual_tokens;
+  found->second.Refund(workspace, expected_tokens - actual_tokens);
+}
+
+void Admission::SetShortageElsewhere(std::string_view class_name,
+                                     double requests_per_second) {
+  const auto found = this->state->classes.find(class_name);
+  if (found != this->state->classes.end()) {
+    found->second.shortage_elsewhere = requests_per_second;
   }
 }
 
--- a/packages/policy/src/policy/admission.h
+++ b/packages/policy/src/policy/admission.h
@@ -39,7 +39,10 @@
 };
 
 /// Holds each class to this daemon's share of its target and shares it fairly
-/// among workspaces. Deterministic for one seed and one order of calls.
+/// among workspaces: all have the same weight, and what one does not use goes
+/// to the others in equal parts, in requests and in tokens. What a whole class
+/// leaves unused goes to classes of the same model or service that ask for
+/// more than their share. Deterministic for one seed and one order of calls.
 class Admission {
  public:
   explicit Admission(std::uint64_t seed);
@@ -56,6 +59,12 @@
   void Settle(std::string_view class_name, std::string_view workspace,
               double expected_tokens, double actual_tokens);
 
+  /// Shortage of a class that other daemons report. While it is above 0, what
+  /// the class leaves unused here is kept for them and not given to another
+  /// class.
+  void SetShortageElsewhere(std::string_view class_name,
+                            double requests_per_second);
+
   /// Requests a second that were refused over the last seconds for lack of
   /// share; the shortage that the budget exchange reports.
   double Shortage(std::string_view class_name, TimePoint now) const;
--- a/packages/policy/src/policy/pipeline_plan.cc
+++ b/packages/policy/src/policy/pipeline_plan.cc
@@ -41,11 +41,10 @@
   for (auto& [key, group] : groups) {
     std::tie(group.first_layer, group.last_layer, group.region,
              group.availability_zone, group.kind) = key;
+    const std::string& name = group.kind;
     const auto kind = std::find_if(
         kinds.begin(), kinds.end(),
-        [name = std::string_view(group.kind)](const auto& candidate) {
-          return candidate.name == name;
-        });
+        [&name](const auto& candidate) { return candidate.name == name; });
     const bool known = kind != kinds.end() && kind->layer_tokens_per_second > 0;
     group.layer_tokens_per_second =
         known ? kind->layer_tokens_per_second : kUnknownLayerTokensPerSecond;
--- a/packages/policy/tests/policy/admission_test.cc
+++ b/packages/policy/tests/policy/admission_test.cc
@@ -1,5 +1,7 @@
 #include "policy/admission.h"
 
+#include <rapidcheck.h>
+
 #include <catch2/catch.hpp>
 #include <map>
 #include <random>
@@ -14,6 +16,7 @@
 using qp::TimePoint;
 using qp::policy::Admission;
 using qp::policy::AdmissionRequest;
+using qp::policy::RefusalReason;
 
 Configuration OneClass(double requests_per_second) {
   Configuration configuration;
@@ -96,3 +99,147 @@
   CHECK(total >= 40 * 60 * 0.98);
   CHECK(total <= 40 * 61 + 2 * workspaces);
 }
+
+// Guards against bursts and token counts that pass the share of the class.
+TEST_CASE("No order of requests passes the share plus its burst",
+          "[admission]") {
+  CHECK(rc::check([] {
+    constexpr double rate = 20;
+    constexpr double token_rate = 1000;
+    auto configuration = OneClass(rate);
+    configuration.classes[0].target.tokens_per_second = token_rate;
+    Admission admission(1);
+    admission.Update(configuration, Shares("look-up", rate, token_rate),
+                     TimePoint{});
+    const auto workspaces = *rc::gen::inRange(1, 6);
+    double requests = 0;
+    double tokens = 0;
+    Duration time{};
+    for (int i = 0; i < 400; ++i) {
+      time += std::chrono::milliseconds(*rc::gen::inRange(0, 60));
+      const auto name = "w" + std::to_string(*rc::gen::inRange(0, workspaces));
+      const double cost = *rc::gen::inRange(1, 200);
+      if (admission.Decide(Ask(name, cost), TimePoint{} + time).admitted()) {
+        requests += 1;
+        tokens += cost;
+      }
+    }
+    const double seconds = std::chrono::duration<double>(time).count();
+    // One second of rate, and per workspace two requests and a newcomer's one.
+    const double burst = rate + 3 * workspaces;
+    RC_ASSERT(requests <= rate * seconds + burst + 1);
+    // A request above the cap of a bucket leaves it up to 200 tokens in debt.
+    RC_ASSERT(tokens <= token_rate * seconds + burst * token_rate / rate +
+                            200 * workspaces);
+  }));
+}
+
+// Guards against a class that takes over its target while another class of
+// the same model still asks for its own.
+TEST_CASE("A class has surplus only of what the others leave unused",
+          "[admission]") {
+  auto configuration = OneClass(50);
+  auto other = configuration.classes[0];
+  other.name = "other";
+  configuration.classes.push_back(other);
+  auto budgets = Shares("look-up", 50, 0);
+  budgets.shares["other"] = {50, 0};
+  Admission admission(1);
+  admission.Update(configuration, budgets, TimePoint{});
+
+  const auto run = [&](double other_rate) {
+    std::map<std::string, int> admitted;
+    constexpr int steps = 60000;  // milliseconds
+    double asked = 0;
+    for (int i = 0; i < steps; ++i) {
+      const auto now = TimePoint{} + std::chrono::milliseconds(i);
+      if (i % 5 == 0) {
+        admitted["look-up"] += admission.Decide(Ask("w"), now).admitted();
+      }
+      for (asked += other_rate / 1000; asked >= 1; asked -= 1) {
+        auto request = Ask("v");
+        request.class_name = "other";
+        admitted["other"] += admission.Decide(request, now).admitted();
+      }
+    }
+    return admitted;
+  };
+  SECTION("and none while the others use their share") {
+    auto admitted = run(100);
+    CHECK(admitted["look-up"] <= 50 * 61 + 3);
+    CHECK(admitted["other"] >= 50 * 60 * 0.98);
+  }
+  SECTION("and all of it while the others are idle") {
+    auto admitted = run(10);
+    CHECK(admitted["other"] >= 10 * 60 - 1);
+    CHECK(admitted["look-up"] >= 90 * 60 * 0.95);
+    CHECK(admitted["look-up"] <= 90 * 61 + 53);
+  }
+  SECTION("and none that other daemons are short of") {
+    admission.SetShortageElsewhere("other", 1);
+    CHECK(run(10)["look-up"] <= 50 * 61 + 3);
+  }
+}
+
+// Guards against work that is paid for and then thrown away.
+TEST_CASE("A request that would end after its deadline is refused uncharged",
+          "[admission]") {
+  auto configuration = OneClass(1);
+  Admission admission(1);
+  admission.Update(configuration, Shares("look-up", 1, 0), TimePoint{});
+  auto request = Ask("w", 11);
+  request.predicted_first_token = 300ms;
+  request.predicted_between_tokens = 50ms;
+  request.deadline = 799ms;
+  for (int i = 0; i < 10; ++i) {
+    const auto decision = admission.Decide(request, TimePoint{});
+    CHECK(decision.reason == RefusalReason::kDeadlineTooShort);
+    CHECK(decision.retry_after > Duration::zero());
+  }
+  request.deadline = 800ms;
+  CHECK(admission.Decide(request, TimePoint{}).admitted());
+}
+
+// Guards against refused callers that all return at the same moment.
+TEST_CASE("Retry-After is spread over the time to serve the refused",
+          "[admission]") {
+  Admission admission(1);
+  admission.Update(OneClass(100), Shares("look-up", 100, 0), TimePoint{});
+  std::map<std::int64_t, int> returning;  // by tenth of a second
+  int refused = 0;
+  for (int i = 0; i < 1000; ++i) {
+    const auto name = "w" + std::to_string(i % 10);
+    const auto decision = admission.Decide(Ask(name), TimePoint{});
+    if (!decision.admitted()) {
+      ++refused;
+      ++returning[decision.retry_after / 100ms];
+    }
+  }
+  REQUIRE(refused > 800);
+  CHECK(admission.Shortage("look-up", TimePoint{}) > 0);
+  CHECK(admission.Shortage("look-up", TimePoint{} + 60s) < 0.01);
+  for (const auto& [tenth, count] : returning) {
+    CHECK(count < refused / 5);
+  }
+}
+
+// Guards against a workspace that starves because it asks with longer answers
+// than it declared.
+TEST_CASE("Settling moves the difference of tokens", "[admission]") {
+  auto configuration = OneClass(10);
+  configuration.classes[0].target.tokens_per_second = 100;
+  Admission admission(1);
+  admission.Update(configuration, Shares("look-up", 10, 100), TimePoint{});
+  const auto admit_all = [&](TimePoint now) {
+    int admitted = 0;
+    while (admission.Decide(Ask("w", 10), now).admitted()) {
+      ++admitted;
+    }
+    return admitted;
+  };
+  const int first = admit_all(TimePoint{});
+  REQUIRE(first > 0);
+  admission.Settle("look-up", "w", 10, 110);
+  CHECK(admit_all(TimePoint{} + 900ms) == 0);
+  CHECK(admit_all(TimePoint{} + 2s) > 0);
+}
