Add placement: flow-guided and even split, paced moves

One unreachable engine for a single report made the plan change and change back (found by the oscillation property), so a better plan must last 30 s and earn the tokens that its loads cost within 10 minutes.

--- a/packages/policy/src/policy/pipeline_plan.cc
+++ b/packages/policy/src/policy/pipeline_plan.cc
@@ -182,4 +182,14 @@
   return plan;
 }
 
+double PipelineBound(std::span<const Backend> backends,
+                     std::span<const std::size_t> usable,
+                     const ModelSpec& model,
+                     std::span<const AcceleratorKind> kinds,
+                     const LinkMap& links) {
+  const auto groups = GroupEngines(backends, usable, kinds);
+  return static_cast<double>(GroupNetwork(groups, model, links).Solve()) /
+         kUnits;
+}
+
 }  // namespace qp::policy
--- a/packages/policy/src/policy/pipeline_plan.h
+++ b/packages/policy/src/policy/pipeline_plan.h
@@ -59,4 +59,11 @@
                           std::span<const AcceleratorKind> kinds,
                           const LinkMap& links);
 
+/// The bound alone, without the evened out flow.
+double PipelineBound(std::span<const Backend> backends,
+                     std::span<const std::size_t> usable,
+                     const ModelSpec& model,
+                     std::span<const AcceleratorKind> kinds,
+                     const LinkMap& links);
+
 }  // namespace qp::policy
--- /dev/null
+++ b/packages/policy/src/policy/placement.cc
@@ -0,0 +1,257 @@
+#include "policy/placement.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace qp::policy {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+using Assignments = std::vector<LayerAssignment>;
+
+/// Part of what is served that must remain while an engine is being moved.
+constexpr double kKeptWhileMoving = 0.75;
+/// A plan that serves less than this part of a candidate has broken down.
+constexpr double kBrokenDown = 0.7;
+/// A load that takes this many times its expected time is ordered again.
+constexpr double kLoadPatience = 3;
+constexpr Seconds kLeastLoadTime{5.0};
+
+Assignments CurrentAssignments(const PlacementInput& input) {
+  Assignments current;
+  for (const auto& engine : input.engines) {
+    if (engine.role == BackendRole::kEngine && engine.IsRoutable() &&
+        !engine.model.empty()) {
+      current.push_back(
+          {engine.name, engine.model, engine.first_layer, engine.last_layer});
+    }
+  }
+  return current;
+}
+
+const LayerAssignment* FindEngine(const Assignments& assignments,
+                                  std::string_view engine) {
+  const auto found =
+      std::find_if(assignments.begin(), assignments.end(),
+                   [&](const auto& item) { return item.engine == engine; });
+  return found == assignments.end() ? nullptr : &*found;
+}
+
+Assignments Without(Assignments assignments, std::string_view engine) {
+  std::erase_if(assignments,
+                [&](const auto& item) { return item.engine == engine; });
+  return assignments;
+}
+
+std::uint32_t LayersInCommon(const LayerAssignment& a,
+                             const LayerAssignment& b) {
+  if (a.model != b.model) {
+    return 0;
+  }
+  const auto first = std::max(a.first_layer, b.first_layer);
+  const auto last = std::min(a.last_layer, b.last_layer);
+  return last >= first ? last - first + 1 : 0;
+}
+
+/// Weights to load when an engine changes from `before` to `after`, bytes.
+double LoadBytes(const PlacementInput& input, const LayerAssignment* before,
+                 const LayerAssignment& after) {
+  const auto model =
+      std::find_if(input.models.begin(), input.models.end(),
+                   [&](const auto& item) { return item.name == after.model; });
+  const auto held = before == nullptr ? 0 : LayersInCommon(*before, after);
+  const auto layers = after.last_layer - after.first_layer + 1 - held;
+  return static_cast<double>(model->layer_bytes) * layers;
+}
+
+/// Exchanges assignments between engines of the same kind and zone so that as
+/// many layers as possible stay where they are.
+Assignments KeepInPlace(const PlacementInput& input, const Assignments& current,
+                        Assignments candidate) {
+  using Alike = std::tuple<std::string, std::string, std::string>;
+  std::map<std::string_view, Alike> alike;
+  for (const auto& engine : input.engines) {
+    alike.emplace(engine.name,
+                  Alike{engine.region, engine.availability_zone, engine.kind});
+  }
+  std::map<Alike, std::vector<std::size_t>> classes;
+  for (std::size_t i = 0; i < candidate.size(); ++i) {
+    classes[alike.at(candidate[i].engine)].push_back(i);
+  }
+  for (const auto& [key, members] : classes) {
+    struct Pair {
+      std::uint32_t common = 0;
+      bool equal = false;
+      std::size_t engine = 0;
+      std::size_t range = 0;
+    };
+    std::vector<Pair> pairs;
+    for (const auto engine : members) {
+      const auto* held = FindEngine(current, candidate[engine].engine);
+      for (const auto range : members) {
+        const auto& wanted = candidate[range];
+        const bool equal = held != nullptr && held->model == wanted.model &&
+                           held->first_layer == wanted.first_layer &&
+                           held->last_layer == wanted.last_layer;
+        pairs.push_back(
+            {held ? LayersInCommon(*held, wanted) : 0, equal, engine, range});
+      }
+    }
+    std::stable_sort(
+        pairs.begin(), pairs.end(), [](const auto& a, const auto& b) {
+          return std::tie(a.equal, a.common) > std::tie(b.equal, b.common);
+        });
+    const Assignments wanted = candidate;
+    std::map<std::size_t, bool> engine_done;
+    std::map<std::size_t, bool> range_done;
+    for (const auto& pair : pairs) {
+      if (!engine_done[pair.engine] && !range_done[pair.range]) {
+        engine_done[pair.engine] = range_done[pair.range] = true;
+        const std::string engine = wanted[pair.engine].engine;
+        candidate[pair.engine] = wanted[pair.range];
+        candidate[pair.engine].engine = engine;
+      }
+    }
+  }
+  return candidate;
+}
+
+}  // namespace
+
+Placement::Placement(std::unique_ptr<PlacementPolicy> policy,
+                     PlacementLimits limits)
+    : policy(std::move(policy)), limits(limits) {}
+
+PlacementDecision Placement::Decide(const PlacementInput& input,
+                                    TimePoint now) {
+  const Assignments current = CurrentAssignments(input);
+  PlacementDecision decision;
+  decision.plan_changed = this->Reconsider(input, current, now);
+  this->RefillStore(now);
+  decision.orders = this->TakeOrders(input, current, now);
+  return decision;
+}
+
+bool Placement::Reconsider(const PlacementInput& input,
+                           const Assignments& current, TimePoint now) {
+  const Assignments& in_force = this->adopted_at ? this->target : current;
+  auto candidate = KeepInPlace(input, in_force, this->policy->Assign(input));
+  const double served = ServedTokens(input, in_force);
+  const double gain = ServedTokens(input, candidate) - served;
+  const double cost = this->CostOf(input, in_force, candidate);
+  const double earned = gain * Seconds(this->limits.horizon).count();
+  if (gain <= this->limits.least_gain * served || earned <= cost) {
+    this->better_since.reset();
+    if (!this->adopted_at && !current.empty()) {
+      // A daemon that takes over keeps what it finds.
+      this->target = current;
+      this->adopted_at = now;
+    }
+    return false;
+  }
+  this->better_since = this->better_since.value_or(now);
+  const bool broken_down = served < kBrokenDown * (served + gain);
+  const bool dwelt =
+      !this->adopted_at || now - *this->adopted_at >= this->limits.least_dwell;
+  const bool lasting =
+      in_force.empty() || now - *this->better_since >= this->limits.persistence;
+  if (!lasting || !(dwelt || broken_down)) {
+    return false;
+  }
+  this->target = std::move(candidate);
+  this->adopted_at = now;
+  this->better_since.reset();
+  return true;
+}
+
+/// Tokens that are not produced while engines load, if the store serves one
+/// load after the other.
+double Placement::CostOf(const PlacementInput& input,
+                         const Assignments& current,
+                         const Assignments& candidate) const {
+  double cost = 0;
+  for (const auto& wanted : candidate) {
+    const auto* held = FindEngine(current, wanted.engine);
+    if (held == nullptr) {
+      continue;
+    }
+    const double bytes = LoadBytes(input, held, wanted);
+    const Seconds load_time{bytes / this->limits.store_bytes_per_second};
+    const auto engine = std::find_if(
+        input.engines.begin(), input.engines.end(),
+        [&](const auto& item) { return item.name == wanted.engine; });
+    const auto kind = std::find_if(
+        input.kinds.begin(), input.kinds.end(),
+        [&](const auto& item) { return item.name == engine->kind; });
+    const auto model = std::find_if(
+        input.models.begin(), input.models.end(),
+        [&](const auto& item) { return item.name == wanted.model; });
+    cost += kind->layer_tokens_per_second / model->layers * load_time.count();
+  }
+  return cost;
+}
+
+void Placement::RefillStore(TimePoint now) {
+  const Seconds elapsed = now - this->refilled_at;
+  this->refilled_at = now;
+  this->store_bytes = std::min(
+      this->store_bytes + elapsed.count() * this->limits.store_bytes_per_second,
+      0.0);
+}
+
+Assignments Placement::TakeOrders(const PlacementInput& input,
+                                  const Assignments& current, TimePoint now) {
+  std::erase_if(this->loading, [&](const auto& item) {
+    const auto* held = FindEngine(current, item.first);
+    return item.second.due < now ||
+           (held != nullptr && *held == item.second.assignment);
+  });
+  Assignments serving = current;
+  for (const auto& [engine, order] : this->loading) {
+    serving = Without(std::move(serving), engine);
+  }
+  std::vector<const LayerAssignment*> waiting;
+  for (const auto& wanted : this->target) {
+    const auto engine = std::find_if(
+        input.engines.begin(), input.engines.end(),
+        [&](const auto& item) { return item.name == wanted.engine; });
+    const auto* held = FindEngine(current, wanted.engine);
+    const bool present = engine != input.engines.end() && engine->IsRoutable();
+    if (present && !(held != nullptr && *held == wanted) &&
+        !this->loading.contains(wanted.engine)) {
+      waiting.push_back(&wanted);
+    }
+  }
+  // Engines that serve nothing first.
+  std::stable_partition(waiting.begin(), waiting.end(), [&](const auto* item) {
+    return FindEngine(serving, item->engine) == nullptr;
+  });
+  Assignments orders;
+  const double served = ServedTokens(input, serving);
+  for (const auto* wanted : waiting) {
+    if (this->store_bytes < 0) {
+      break;
+    }
+    const auto rest = Without(serving, wanted->engine);
+    const bool keeps_up =
+        ServedTokens(input, rest) >= kKeptWhileMoving * served;
+    // With nothing under way, waiting would not make the move any safer.
+    if (!keeps_up && !(this->loading.empty() && wanted == waiting.back())) {
+      continue;
+    }
+    const double bytes =
+        LoadBytes(input, FindEngine(current, wanted->engine), *wanted);
+    this->store_bytes -= bytes;
+    const Seconds patience =
+        kLeastLoadTime +
+        kLoadPatience * Seconds(bytes / this->limits.store_bytes_per_second);
+    this->loading[wanted->engine] = {
+        *wanted, now + std::chrono::duration_cast<Duration>(patience)};
+    orders.push_back(*wanted);
+    serving = rest;
+  }
+  return orders;
+}
+
+}  // namespace qp::policy
--- /dev/null
+++ b/packages/policy/src/policy/placement_policy.cc
@@ -0,0 +1,494 @@
+#include "policy/placement_policy.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <numeric>
+#include <optional>
+#include <set>
+#include <tuple>
+
+#include "policy/pipeline_plan.h"
+
+namespace qp::policy {
+
+namespace {
+
+using Engines = std::vector<std::size_t>;  ///< Indexes into the input.
+
+/// Part of an accelerator's memory for weights; the rest holds KV cache.
+constexpr double kWeightsPart = 0.7;
+/// Flow above the demand that still counts as served, for short bursts.
+constexpr double kHeadroom = 1.25;
+/// Flow evaluations of the local search for one model.
+constexpr int kMostEvaluations = 150;
+/// Smallest improvement that a move of the local search must bring.
+constexpr double kLeastImprovement = 1.001;
+/// Times that all engines of a cluster are placed anew.
+constexpr int kLevellingRounds = 3;
+
+const AcceleratorKind* FindKind(std::span<const AcceleratorKind> kinds,
+                                std::string_view name) {
+  const auto found =
+      std::find_if(kinds.begin(), kinds.end(),
+                   [&](const auto& kind) { return kind.name == name; });
+  return found == kinds.end() ? nullptr : &*found;
+}
+
+Engines UsableEngines(const PlacementInput& input) {
+  Engines usable;
+  for (std::size_t i = 0; i < input.engines.size(); ++i) {
+    if (input.engines[i].role == BackendRole::kEngine &&
+        input.engines[i].IsRoutable()) {
+      usable.push_back(i);
+    }
+  }
+  return usable;
+}
+
+std::uint32_t Fit(const PlacementInput& input, const ModelSpec& model,
+                  std::size_t engine) {
+  return LayersThatFit(model, input.engines[engine].kind, input.kinds);
+}
+
+double Speed(const PlacementInput& input, std::size_t engine) {
+  const auto* kind = FindKind(input.kinds, input.engines[engine].kind);
+  return kind == nullptr ? 0 : kind->layer_tokens_per_second;
+}
+
+/// Divides the engines among the models in proportion to demand times layers.
+/// Alike engines of a zone are dealt out one after the other, so that each
+/// model receives some of each.
+std::vector<Engines> DivideAmongModels(const PlacementInput& input) {
+  Engines engines = UsableEngines(input);
+  std::sort(engines.begin(), engines.end(), [&](auto left, auto right) {
+    const auto& a = input.engines[left];
+    const auto& b = input.engines[right];
+    return std::tie(a.region, a.availability_zone, a.kind, a.name) <
+           std::tie(b.region, b.availability_zone, b.kind, b.name);
+  });
+  std::vector<Engines> result(input.models.size());
+  std::vector<double> given(input.models.size());
+  for (const auto engine : engines) {
+    std::optional<std::size_t> neediest;
+    double lowest = 0;
+    for (std::size_t m = 0; m < input.models.size(); ++m) {
+      const ModelSpec& model = input.models[m];
+      const double need = DemandOf(input, model.name) * model.layers;
+      const double supply = given[m] / need;
+      if (Fit(input, model, engine) > 0 && (!neediest || supply < lowest)) {
+        neediest = m;
+        lowest = supply;
+      }
+    }
+    if (neediest) {
+      result[*neediest].push_back(engine);
+      given[*neediest] += Speed(input, engine);
+    }
+  }
+  return result;
+}
+
+LayerAssignment Assigned(const PlacementInput& input, std::size_t engine,
+                         const ModelSpec& model, std::uint32_t first,
+                         std::uint32_t end) {
+  return {input.engines[engine].name, model.name, first, end - 1};
+}
+
+/// Boundaries of `count` nearly equal ranges of layers.
+std::vector<std::uint32_t> EvenBoundaries(std::uint32_t layers,
+                                          std::uint32_t count) {
+  std::vector<std::uint32_t> boundaries;
+  boundaries.reserve(count + 1);
+  for (std::uint32_t i = 0; i <= count; ++i) {
+    boundaries.push_back(
+        static_cast<std::uint32_t>(std::uint64_t{layers} * i / count));
+  }
+  return boundaries;
+}
+
+std::uint32_t SmallestFit(const PlacementInput& input, const ModelSpec& model,
+                          const Engines& engines) {
+  std::uint32_t smallest = model.layers;
+  for (const auto engine : engines) {
+    smallest = std::min(smallest, Fit(input, model, engine));
+  }
+  return std::max<std::uint32_t>(smallest, 1);
+}
+
+/// Levels the capacity of all layers over a cluster of engines: places each
+/// engine, the fastest first, on the range where it raises a concave utility
+/// of the layers' capacities most, then places all of them anew some times.
+class Levelling {
+ public:
+  Levelling(const PlacementInput& input, const ModelSpec& model,
+            const Engines& engines)
+      : input(input), model(model), engines(engines) {
+    const std::uint32_t smallest = SmallestFit(input, model, engines);
+    this->boundaries =
+        EvenBoundaries(model.layers, (model.layers + smallest - 1) / smallest);
+    this->capacity.assign(this->boundaries.size() - 1, 0);
+    for (const auto engine : engines) {
+      this->level += Speed(input, engine) / model.layers;
+    }
+    std::stable_sort(this->engines.begin(), this->engines.end(),
+                     [&](auto left, auto right) {
+                       return Speed(input, left) > Speed(input, right);
+                     });
+  }
+
+  std::vector<LayerAssignment> Run() {
+    std::vector<std::optional<Range>> ranges(this->engines.size());
+    for (int round = 0; round < kLevellingRounds; ++round) {
+      for (std::size_t i = 0; i < this->engines.size(); ++i) {
+        if (ranges[i]) {
+          this->Add(*ranges[i], -Speed(this->input, this->engines[i]));
+        }
+        ranges[i] = this->BestRange(this->engines[i]);
+        if (ranges[i]) {
+          this->Add(*ranges[i], Speed(this->input, this->engines[i]));
+        }
+      }
+    }
+    std::vector<LayerAssignment> result;
+    for (std::size_t i = 0; i < this->engines.size(); ++i) {
+      if (ranges[i]) {
+        result.push_back(Assigned(this->input, this->engines[i], this->model,
+                                  this->boundaries[ranges[i]->first],
+                                  this->boundaries[ranges[i]->end]));
+      }
+    }
+    return result;
+  }
+
+ private:
+  struct Range {
+    std::size_t first = 0;  ///< Cell between two boundaries.
+    std::size_t end = 0;    ///< Exclusive.
+  };
+
+  double LayersOf(const Range& range) const {
+    return this->boundaries[range.end] - this->boundaries[range.first];
+  }
+
+  void Add(const Range& range, double speed) {
+    for (std::size_t cell = range.first; cell < range.end; ++cell) {
+      this->capacity[cell] += speed / this->LayersOf(range);
+    }
+  }
+
+  /// Rises steeply while a cell has little of the mean capacity.
+  double Utility(std::size_t cell, double tokens_per_second) const {
+    constexpr double steepness = 0.05;
+    return -this->LayersOf({cell, cell + 1}) /
+           (std::max(tokens_per_second, 0.0) / this->level + steepness);
+  }
+
+  std::optional<Range> BestRange(std::size_t engine) const {
+    const std::uint32_t fit = Fit(this->input, this->model, engine);
+    const double speed = Speed(this->input, engine);
+    std::optional<Range> best;
+    double best_gain = 0;
+    for (std::size_t first = 0; first < this->capacity.size(); ++first) {
+      for (std::size_t end = first + 1; end <= this->capacity.size(); ++end) {
+        const Range range{first, end};
+        if (this->LayersOf(range) > fit) {
+          break;
+        }
+        double gain = 0;
+        for (std::size_t cell = first; cell < end; ++cell) {
+          gain += this->Utility(cell, this->capacity[cell] +
+                                          speed / this->LayersOf(range)) -
+                  this->Utility(cell, this->capacity[cell]);
+        }
+        // Among nearly equal ranges the longest, for fewer hops.
+        if (!best || gain >= best_gain * 0.999) {
+          best = range;
+          best_gain = std::max(gain, best_gain);
+        }
+      }
+    }
+    return best;
+  }
+
+  const PlacementInput& input;
+  const ModelSpec& model;
+  Engines engines;
+  std::vector<std::uint32_t> boundaries;
+  std::vector<double> capacity;  ///< Tokens per second, by cell.
+  double level = 0;              ///< Mean capacity of a layer.
+};
+
+using ClusterKey =
+    std::function<std::pair<std::string, std::string>(const Backend&)>;
+
+/// Engines with equal keys. A cluster that can't hold the model is merged into
+/// the one with the fastest link to it.
+std::vector<Engines> Cluster(const PlacementInput& input,
+                             const ModelSpec& model, const Engines& engines,
+                             const ClusterKey& key) {
+  std::map<std::pair<std::string, std::string>, Engines> by_key;
+  for (const auto engine : engines) {
+    by_key[key(input.engines[engine])].push_back(engine);
+  }
+  std::vector<Engines> clusters;
+  for (auto& [name, members] : by_key) {
+    clusters.push_back(std::move(members));
+  }
+  const auto holds_model = [&](const Engines& members) {
+    std::uint64_t fit = 0;
+    for (const auto engine : members) {
+      fit += Fit(input, model, engine);
+    }
+    return fit >= model.layers;
+  };
+  const auto speed_between = [&](const Engines& a, const Engines& b) {
+    const Backend& left = input.engines[a.front()];
+    const Backend& right = input.engines[b.front()];
+    return input.links
+        .Between({left.region, left.availability_zone},
+                 {right.region, right.availability_zone})
+        .bytes_per_second;
+  };
+  for (;;) {
+    const auto small =
+        std::find_if_not(clusters.begin(), clusters.end(), holds_model);
+    if (small == clusters.end() || clusters.size() == 1) {
+      return clusters;
+    }
+    Engines moved = std::move(*small);
+    clusters.erase(small);
+    const auto nearest = std::max_element(
+        clusters.begin(), clusters.end(), [&](const auto& a, const auto& b) {
+          return speed_between(moved, a) < speed_between(moved, b);
+        });
+    nearest->insert(nearest->end(), moved.begin(), moved.end());
+  }
+}
+
+std::vector<LayerAssignment> LevelClusters(
+    const PlacementInput& input, const ModelSpec& model,
+    const std::vector<Engines>& clusters) {
+  std::vector<LayerAssignment> result;
+  for (const auto& cluster : clusters) {
+    const auto part = Levelling(input, model, cluster).Run();
+    result.insert(result.end(), part.begin(), part.end());
+  }
+  return result;
+}
+
+std::vector<LayerAssignment> EvenSplit(const PlacementInput& input,
+                                       const ModelSpec& model,
+                                       const Engines& engines) {
+  const std::uint32_t smallest = SmallestFit(input, model, engines);
+  const std::uint32_t stages = (model.layers + smallest - 1) / smallest;
+  const auto boundaries = EvenBoundaries(model.layers, stages);
+  std::vector<LayerAssignment> result;
+  for (std::size_t i = 0; i < engines.size(); ++i) {
+    const std::size_t stage = i % stages;
+    result.push_back(Assigned(input, engines[i], model, boundaries[stage],
+                              boundaries[stage + 1]));
+  }
+  return result;
+}
+
+/// Moves single engines to other ranges in use as long as the flow grows.
+class LocalSearch {
+ public:
+  LocalSearch(const PlacementInput& input, const ModelSpec& model,
+              std::vector<LayerAssignment> start)
+      : input(input),
+        model(model),
+        assignments(std::move(start)),
+        bound(FlowBound(input, model, this->assignments)) {
+    for (const auto& engine : input.engines) {
+      this->by_name.emplace(engine.name, &engine);
+    }
+  }
+
+  std::vector<LayerAssignment> Run() {
+    while (this->evaluations < kMostEvaluations && this->Improve()) {
+    }
+    return std::move(this->assignments);
+  }
+
+ private:
+  using Range = std::pair<std::uint32_t, std::uint32_t>;
+
+  bool Improve() {
+    std::set<Range> ranges;
+    for (const auto& item : this->assignments) {
+      ranges.emplace(item.first_layer, item.last_layer);
+    }
+    // One engine stands for all that are alike.
+    std::set<std::tuple<std::string, std::string, Range>> tried;
+    for (auto& item : this->assignments) {
+      const Backend& engine = *this->by_name.at(item.engine);
+      const Range before{item.first_layer, item.last_layer};
+      if (!tried.emplace(engine.kind, engine.availability_zone, before)
+               .second) {
+        continue;
+      }
+      for (const auto& range : ranges) {
+        if (range != before && this->TryRange(item, range)) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
+  bool TryRange(LayerAssignment& item, const Range& range) {
+    const Backend& engine = *this->by_name.at(item.engine);
+    const bool fits =
+        range.second - range.first <
+        LayersThatFit(this->model, engine.kind, this->input.kinds);
+    if (!fits || this->evaluations >= kMostEvaluations) {
+      return false;
+    }
+    const Range before{item.first_layer, item.last_layer};
+    std::tie(item.first_layer, item.last_layer) = range;
+    ++this->evaluations;
+    const double changed =
+        FlowBound(this->input, this->model, this->assignments);
+    if (changed > this->bound * kLeastImprovement) {
+      this->bound = changed;
+      return true;
+    }
+    std::tie(item.first_layer, item.last_layer) = before;
+    return false;
+  }
+
+  const PlacementInput& input;
+  const ModelSpec& model;
+  std::vector<LayerAssignment> assignments;
+  double bound = 0;
+  int evaluations = 0;
+  std::map<std::string_view, const Backend*> by_name;
+};
+
+std::vector<LayerAssignment> GuideByFlow(const PlacementInput& input,
+                                         const ModelSpec& model,
+                                         const Engines& engines) {
+  const ClusterKey zone = [](const Backend& engine) {
+    return std::pair(engine.region, engine.availability_zone);
+  };
+  const ClusterKey region = [](const Backend& engine) {
+    return std::pair(engine.region, std::string());
+  };
+  const ClusterKey all = [](const Backend&) {
+    return std::pair<std::string, std::string>();
+  };
+  std::vector<LayerAssignment> best = EvenSplit(input, model, engines);
+  double best_bound = FlowBound(input, model, best);
+  for (const auto& key : {zone, region, all}) {
+    auto candidate =
+        LevelClusters(input, model, Cluster(input, model, engines, key));
+    const double bound = FlowBound(input, model, candidate);
+    if (bound > best_bound) {
+      best_bound = bound;
+      best = std::move(candidate);
+    }
+  }
+  return LocalSearch(input, model, std::move(best)).Run();
+}
+
+using ModelPlacement = std::vector<LayerAssignment> (*)(const PlacementInput&,
+                                                        const ModelSpec&,
+                                                        const Engines&);
+
+std::vector<LayerAssignment> PlaceEach(const PlacementInput& input,
+                                       ModelPlacement place) {
+  std::vector<LayerAssignment> result;
+  const auto divided = DivideAmongModels(input);
+  for (std::size_t m = 0; m < input.models.size(); ++m) {
+    if (!divided[m].empty()) {
+      const auto part = place(input, input.models[m], divided[m]);
+      result.insert(result.end(), part.begin(), part.end());
+    }
+  }
+  std::sort(result.begin(), result.end(),
+            [](const auto& a, const auto& b) { return a.engine < b.engine; });
+  return result;
+}
+
+}  // namespace
+
+double DemandOf(const PlacementInput& input, std::string_view model) {
+  const auto found =
+      std::find_if(input.demands.begin(), input.demands.end(),
+                   [&](const auto& demand) { return demand.model == model; });
+  return found == input.demands.end() ? 1
+                                      : std::max(found->tokens_per_second, 1.0);
+}
+
+std::vector<ModelDemand> DemandsOf(const Configuration& configuration) {
+  std::vector<ModelDemand> demands;
+  for (const auto& model : configuration.models) {
+    ModelDemand demand{model.name, 0};
+    for (const auto& request_class : configuration.classes) {
+      if (request_class.model == model.name) {
+        demand.tokens_per_second += request_class.target.tokens_per_second;
+      }
+    }
+    demands.push_back(std::move(demand));
+  }
+  return demands;
+}
+
+std::uint32_t LayersThatFit(const ModelSpec& model, std::string_view kind,
+                            std::span<const AcceleratorKind> kinds) {
+  const auto* found = FindKind(kinds, kind);
+  if (found == nullptr) {
+    return 0;
+  }
+  const double layers = kWeightsPart *
+                        static_cast<double>(found->memory_bytes) /
+                        std::max<double>(model.layer_bytes, 1);
+  return static_cast<std::uint32_t>(std::min<double>(layers, model.layers));
+}
+
+double FlowBound(const PlacementInput& input, const ModelSpec& model,
+                 std::span<const LayerAssignment> assignments) {
+  std::map<std::string_view, const LayerAssignment*> by_engine;
+  for (const auto& assignment : assignments) {
+    if (assignment.model == model.name) {
+      by_engine.emplace(assignment.engine, &assignment);
+    }
+  }
+  std::vector<Backend> engines;
+  for (const auto& engine : input.engines) {
+    const auto found = by_engine.find(engine.name);
+    if (found != by_engine.end() && engine.IsRoutable()) {
+      engines.push_back(engine);
+      engines.back().first_layer = found->second->first_layer;
+      engines.back().last_layer = found->second->last_layer;
+    }
+  }
+  std::vector<std::size_t> usable(engines.size());
+  std::iota(usable.begin(), usable.end(), 0);
+  return PipelineBound(engines, usable, model, input.kinds, input.links);
+}
+
+double ServedTokens(const PlacementInput& input,
+                    std::span<const LayerAssignment> assignments) {
+  double served = 0;
+  for (const auto& model : input.models) {
+    served += std::min(FlowBound(input, model, assignments),
+                       kHeadroom * DemandOf(input, model.name));
+  }
+  return served;
+}
+
+std::vector<LayerAssignment> EvenSplitPlacement::Assign(
+    const PlacementInput& input) const {
+  return PlaceEach(input, EvenSplit);
+}
+
+std::vector<LayerAssignment> FlowGuidedPlacement::Assign(
+    const PlacementInput& input) const {
+  return PlaceEach(input, GuideByFlow);
+}
+
+}  // namespace qp::policy
--- /dev/null
+++ b/packages/policy/tests/policy/placement_test.cc
@@ -0,0 +1,257 @@
+#include "policy/placement.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <random>
+#include <set>
+
+namespace {
+
+using namespace std::chrono_literals;
+using qp::Backend;
+using qp::ModelSpec;
+using qp::TimePoint;
+using qp::policy::FlowGuidedPlacement;
+using qp::policy::LayerAssignment;
+using qp::policy::Placement;
+using qp::policy::PlacementInput;
+using qp::policy::PlacementLimits;
+
+constexpr std::uint64_t kGigabyte = 1000000000;
+
+const std::vector<qp::AcceleratorKind> kKinds{{"a", 80 * kGigabyte, 80000},
+                                              {"b", 40 * kGigabyte, 30000},
+                                              {"c", 24 * kGigabyte, 12000},
+                                              {"d", 16 * kGigabyte, 4000}};
+
+/// Engines of the four kinds over zones of two regions.
+std::vector<Backend> Fleet(const std::vector<int>& kinds,
+                           const std::vector<int>& zones) {
+  std::vector<Backend> engines(kinds.size());
+  for (std::size_t i = 0; i < engines.size(); ++i) {
+    engines[i].name = "engine-" + std::to_string(1000 + i);
+    engines[i].kind = kKinds[kinds[i]].name;
+    engines[i].availability_zone = "zone-" + std::to_string(zones[i]);
+    engines[i].region = zones[i] < 2 ? "north" : "south";
+    engines[i].slots = 16;
+  }
+  return engines;
+}
+
+std::vector<Backend> RandomFleet(std::size_t size, std::uint64_t seed) {
+  std::mt19937_64 generator(seed);
+  std::uniform_int_distribution<int> kind(0, 3);
+  std::uniform_int_distribution<int> zone(0, 3);
+  std::vector<int> kinds;
+  std::vector<int> zones;
+  for (std::size_t i = 0; i < size; ++i) {
+    kinds.push_back(kind(generator));
+    zones.push_back(zone(generator));
+  }
+  return Fleet(kinds, zones);
+}
+
+/// A fleet with its models, that applies orders after the load time.
+class TestFleet {
+ public:
+  explicit TestFleet(std::vector<Backend> fleet)
+      : engines(std::move(fleet)),
+        models{{"large", 80, 2 * kGigabyte, 16384},
+               {"small", 32, kGigabyte / 2, 8192}},
+        demands{{"large", 2000}, {"small", 4000}} {}
+
+  PlacementInput Input() const {
+    return {this->engines, this->models, kKinds, this->demands, {}};
+  }
+
+  void Apply(const LayerAssignment& order) {
+    for (auto& engine : this->engines) {
+      if (engine.name == order.engine) {
+        engine.model = order.model;
+        engine.first_layer = order.first_layer;
+        engine.last_layer = order.last_layer;
+      }
+    }
+  }
+
+  std::vector<LayerAssignment> Held() const {
+    std::vector<LayerAssignment> held;
+    for (const auto& engine : this->engines) {
+      if (!engine.model.empty()) {
+        held.push_back(
+            {engine.name, engine.model, engine.first_layer, engine.last_layer});
+      }
+    }
+    return held;
+  }
+
+  std::vector<Backend> engines;
+  std::vector<ModelSpec> models;
+  std::vector<qp::policy::ModelDemand> demands;
+};
+
+/// Bytes of the layers that the engine doesn't hold yet.
+double LoadOf(const TestFleet& fleet, const LayerAssignment& order) {
+  double bytes = 0;
+  for (const auto& engine : fleet.engines) {
+    if (engine.name != order.engine) {
+      continue;
+    }
+    for (auto layer = order.first_layer; layer <= order.last_layer; ++layer) {
+      const bool held = engine.model == order.model &&
+                        engine.first_layer <= layer &&
+                        layer <= engine.last_layer;
+      bytes += held ? 0 : (order.model == "large" ? 2e9 : 5e8);
+    }
+  }
+  return bytes;
+}
+
+Placement MakePlacement(PlacementLimits limits = {}) {
+  return Placement(std::make_unique<FlowGuidedPlacement>(), limits);
+}
+
+}  // namespace
+
+// Guards against ranges that don't fit an engine or lie outside the model, and
+// against a search that ends below its baseline.
+TEST_CASE("Placements fit the engines and serve no less than the even split",
+          "[placement]") {
+  CHECK(rc::check([] {
+    const auto size = *rc::gen::inRange<std::size_t>(1, 40);
+    TestFleet fleet(RandomFleet(size, *rc::gen::inRange(0, 1000)));
+    const auto input = fleet.Input();
+    const auto guided = FlowGuidedPlacement().Assign(input);
+    const auto even = qp::policy::EvenSplitPlacement().Assign(input);
+    std::set<std::string> placed;
+    for (const auto& item : guided) {
+      RC_ASSERT(placed.insert(item.engine).second);
+      const auto& model = fleet.models[item.model == "large" ? 0 : 1];
+      RC_ASSERT(item.first_layer <= item.last_layer);
+      RC_ASSERT(item.last_layer < model.layers);
+      const auto engine = std::find_if(
+          fleet.engines.begin(), fleet.engines.end(),
+          [&](const auto& other) { return other.name == item.engine; });
+      RC_ASSERT(item.last_layer - item.first_layer <
+                qp::policy::LayersThatFit(model, engine->kind, kKinds));
+    }
+    for (const auto& model : fleet.models) {
+      RC_ASSERT(qp::policy::FlowBound(input, model, guided) >=
+                qp::policy::FlowBound(input, model, even));
+    }
+  }));
+}
+
+// Guards against a policy that ignores speed, memory and links: the bound must
+// come near the capacity of all accelerators, which nothing can exceed.
+TEST_CASE("Guided by flow, a mixed fleet uses its accelerators",
+          "[placement]") {
+  TestFleet fleet(RandomFleet(60, GENERATE(4, 5, 6)));
+  const auto input = fleet.Input();
+  const auto guided = FlowGuidedPlacement().Assign(input);
+  const auto even = qp::policy::EvenSplitPlacement().Assign(input);
+  double used = 0;
+  double baseline = 0;
+  for (const auto& model : fleet.models) {
+    used += model.layers * qp::policy::FlowBound(input, model, guided);
+    baseline += model.layers * qp::policy::FlowBound(input, model, even);
+  }
+  double capacity = 0;
+  for (const auto& engine : fleet.engines) {
+    capacity += kKinds[engine.kind[0] - 'a'].layer_tokens_per_second;
+  }
+  CAPTURE(used / capacity, baseline / capacity);
+  CHECK(used > 0.85 * capacity);
+  CHECK(used > 1.4 * baseline);
+}
+
+// Guards against loads that exceed what the weight store delivers, and against
+// moves that take a model out of service.
+TEST_CASE("Moves keep the pace of the store and the models in service",
+          "[placement]") {
+  TestFleet fleet(RandomFleet(24, 9));
+  PlacementLimits limits;
+  limits.store_bytes_per_second = 2e9;
+  auto placement = MakePlacement(limits);
+  for (const auto& item :
+       qp::policy::EvenSplitPlacement().Assign(fleet.Input())) {
+    fleet.Apply(item);
+  }
+  const double served_before =
+      qp::policy::ServedTokens(fleet.Input(), fleet.Held());
+  REQUIRE(served_before > 0);
+  std::deque<std::pair<int, LayerAssignment>> under_way;  // by end, seconds
+  double bytes = 0;
+  double largest = 0;
+  constexpr int length = 1500;
+  for (int second = 0; second < length; ++second) {
+    std::erase_if(under_way, [&](const auto& item) {
+      const bool done = item.first <= second;
+      if (done) {
+        fleet.Apply(item.second);
+        for (auto& engine : fleet.engines) {
+          engine.reachable =
+              engine.reachable || engine.name == item.second.engine;
+        }
+      }
+      return done;
+    });
+    const auto decision = placement.Decide(
+        fleet.Input(), TimePoint{} + std::chrono::seconds(second));
+    for (const auto& order : decision.orders) {
+      const double load = LoadOf(fleet, order);
+      bytes += load;
+      largest = std::max(largest, load);
+      under_way.emplace_back(
+          second + static_cast<int>(load / limits.store_bytes_per_second) + 1,
+          order);
+    }
+    auto serving = fleet.Held();
+    std::erase_if(serving, [&](const auto& held) {
+      return std::any_of(
+          under_way.begin(), under_way.end(),
+          [&](const auto& item) { return item.second.engine == held.engine; });
+    });
+    CHECK(qp::policy::ServedTokens(fleet.Input(), serving) > 0);
+    CHECK(bytes <= limits.store_bytes_per_second * (second + 1) + largest);
+  }
+  CHECK(fleet.Held() == placement.plan());
+  CHECK(qp::policy::ServedTokens(fleet.Input(), fleet.Held()) >
+        1.1 * served_before);
+}
+
+// Guards against plans that change back and forth with small changes of
+// demand, each change costing loads.
+TEST_CASE("Changing demand and flapping engines don't make plans oscillate",
+          "[placement]") {
+  CHECK(rc::check([] {
+    const auto seed = *rc::gen::inRange<std::uint64_t>(0, 1000);
+    TestFleet fleet(RandomFleet(16, seed));
+    auto placement = MakePlacement();
+    std::mt19937_64 generator(seed);
+    std::uniform_real_distribution<double> wobble(0.9, 1.1);
+    std::uniform_int_distribution<std::size_t> any(0, 15);
+    std::vector<std::vector<LayerAssignment>> plans;
+    for (int minute = 0; minute < 60; ++minute) {
+      fleet.demands[0].tokens_per_second = 2000 * wobble(generator);
+      fleet.demands[1].tokens_per_second = 4000 * wobble(generator);
+      // The lag of one report makes an engine look gone for a minute.
+      auto& flapping = fleet.engines[any(generator)];
+      flapping.reachable = minute < 5 || minute % 4 != 0;
+      const auto decision = placement.Decide(
+          fleet.Input(), TimePoint{} + std::chrono::minutes(minute));
+      flapping.reachable = true;
+      for (const auto& order : decision.orders) {
+        fleet.Apply(order);
+      }
+      if (decision.plan_changed) {
+        RC_ASSERT(std::find(plans.begin(), plans.end(), placement.plan()) ==
+                  plans.end());
+        plans.push_back(placement.plan());
+      }
+    }
+    RC_ASSERT(plans.size() <= 6U);
+  }));
+}
