Add the HTTP server and client on Boost.Beast

Cause: every process speaks HTTP to callers, operators, backend servers or the platform. Change: bounded listener with chunked answers and disconnect detection; client with kept connections whose errors tell whether anything was written; a watchdog whose restart needs no new timer. Ruled out: one clock timer per write (each token would leave an entry in the clock's schedule until its bound).

--- a/packages/foundation/src/foundation/wait.cc
+++ b/packages/foundation/src/foundation/wait.cc
@@ -32,50 +32,85 @@
   co_await AwaitCancel(timer);
 }
 
-struct Watchdog::State {
+struct Watchdog::State : std::enable_shared_from_this<Watchdog::State> {
+  State(Clock& time, asio::io_context::executor_type io, Duration limit,
+        std::function<void()> callback)
+      : clock(time),
+        executor(io),
+        bound(limit),
+        on_expiry(std::move(callback)) {}
+
+  void ScheduleTimer() {
+    this->timer_pending = true;
+    auto io = this->executor;
+    this->timer = this->clock.Schedule(this->deadline,
+                                       [io, weak = this->weak_from_this()] {
+                                         asio::post(io, [weak] {
+                                           if (auto state = weak.lock()) {
+                                             state->OnTimer();
+                                           }
+                                         });
+                                       });
+  }
+
+  void OnTimer() {
+    this->timer_pending = false;
+    if (!this->armed) {
+      return;
+    }
+    if (this->clock.Now() < this->deadline) {
+      this->ScheduleTimer();
+      return;
+    }
+    this->armed = false;
+    this->expired = true;
+    this->on_expiry();
+  }
+
+  Clock& clock;
+  asio::io_context::executor_type executor;
+  Duration bound;
   std::function<void()> on_expiry;
-  std::uint64_t round = 0;
+  TimePoint deadline{};
+  TimerId timer = 0;
+  bool armed = false;
+  bool timer_pending = false;
   bool expired = false;
-  bool armed = true;
 };
 
-Watchdog::Watchdog(Clock& time, asio::io_context::executor_type io,
-                   Duration limit, std::function<void()> on_expiry)
-    : clock(time),
-      executor(io),
-      bound(limit),
-      state(std::make_shared<State>()) {
-  this->state->on_expiry = std::move(on_expiry);
-  this->Restart();
-}
+Watchdog::Watchdog(Clock& clock, asio::io_context::executor_type executor,
+                   Duration bound, std::function<void()> on_expiry)
+    : state(std::make_shared<State>(clock, executor, bound,
+                                    std::move(on_expiry))) {}
 
-Watchdog::~Watchdog() { this->Disarm(); }
+Watchdog::~Watchdog() {
+  this->state->armed = false;
+  if (this->state->timer_pending) {
+    this->state->clock.Cancel(this->state->timer);
+  }
+}
 
 void Watchdog::Restart() {
-  if (this->timer != 0) {
-    this->clock.Cancel(this->timer);
+  const auto deadline = this->state->clock.Now() + this->state->bound;
+  const bool earlier = deadline < this->state->deadline;
+  this->state->deadline = deadline;
+  this->state->armed = true;
+  if (this->state->timer_pending && earlier) {
+    this->state->clock.Cancel(this->state->timer);
+    this->state->timer_pending = false;
+  }
+  if (!this->state->timer_pending) {
+    this->state->ScheduleTimer();
   }
-  const auto round = ++this->state->round;
-  auto shared = this->state;
-  auto expire = [shared, round] {
-    if (!shared->armed || shared->round != round) {
-      return;
-    }
-    shared->expired = true;
-    shared->armed = false;
-    shared->on_expiry();
-  };
-  auto io = this->executor;
-  this->timer = this->clock.Schedule(
-      this->clock.Now() + this->bound,
-      [io, expire = std::move(expire)] { asio::post(io, expire); });
 }
 
-void Watchdog::Disarm() {
-  this->state->armed = false;
-  this->clock.Cancel(this->timer);
+void Watchdog::Restart(Duration bound) {
+  this->state->bound = bound;
+  this->Restart();
 }
 
+void Watchdog::Disarm() { this->state->armed = false; }
+
 bool Watchdog::expired() const { return this->state->expired; }
 
 Signal::Signal(asio::io_context::executor_type executor)
--- a/packages/foundation/src/foundation/wait.h
+++ b/packages/foundation/src/foundation/wait.h
@@ -12,28 +12,28 @@
 Task<void> SleepFor(Clock& clock, Duration duration);
 
 /// Calls a function on an executor unless destroyed or disarmed in time.
-/// Bounds an exchange: the function closes what the exchange waits on.
+/// Bounds an exchange: the function closes what the exchange waits on. A
+/// restart moves the deadline without a new timer, so that it costs little on
+/// the path of a token.
 class Watchdog {
  public:
+  /// Starts disarmed; Restart arms it.
   Watchdog(Clock& clock, asio::io_context::executor_type executor,
            Duration bound, std::function<void()> on_expiry);
   ~Watchdog();
   Watchdog(const Watchdog&) = delete;
   Watchdog& operator=(const Watchdog&) = delete;
 
-  /// Starts the bound again, after progress was made.
+  /// Starts the bound again.
   void Restart();
+  /// As above, with another bound from now on.
+  void Restart(Duration bound);
   void Disarm();
   bool expired() const;
 
  private:
   struct State;
-
-  Clock& clock;
-  asio::io_context::executor_type executor;
-  Duration bound;
   std::shared_ptr<State> state;
-  TimerId timer = 0;
 };
 
 /// A condition that coroutines of one thread wait for; waiters may give up
--- a/packages/foundation/tests/foundation/caf_clock_test.cc
+++ b/packages/foundation/tests/foundation/caf_clock_test.cc
@@ -53,6 +53,7 @@
   int expiries = 0;
   qp::Watchdog watchdog(runtime.clock(), runtime.io().get_executor(), 10ms,
                         [&expiries] { ++expiries; });
+  watchdog.Restart();
   runtime.Advance(8ms);
   watchdog.Restart();
   runtime.Advance(8ms);
--- /dev/null
+++ b/packages/http/src/http/server.cc
@@ -0,0 +1,349 @@
+#include "http/server.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <unordered_set>
+
+#include "foundation/wait.h"
+#include "http/endpoint.h"
+
+namespace qp::http {
+
+namespace beast = boost::beast;
+using asio::ip::tcp;
+
+struct Server::State {
+  State(asio::io_context& context, Clock& time, ServerLimits bounds,
+        Handler& served)
+      : io(context),
+        clock(time),
+        limits(bounds),
+        handler(served),
+        acceptor(context) {}
+
+  asio::io_context& io;
+  Clock& clock;
+  ServerLimits limits;
+  Handler& handler;
+  tcp::acceptor acceptor;
+  std::size_t connections = 0;
+  std::size_t in_flight = 0;
+  bool stopped = false;
+};
+
+namespace {
+
+/// Counts up while it lives.
+class ScopedCount {
+ public:
+  explicit ScopedCount(std::size_t& target) : counter(target) {
+    ++this->counter;
+  }
+  ~ScopedCount() { --this->counter; }
+  ScopedCount(const ScopedCount&) = delete;
+  ScopedCount& operator=(const ScopedCount&) = delete;
+
+ private:
+  std::size_t& counter;
+};
+
+/// A client's socket with the bounds on its use.
+class Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(tcp::socket accepted, asio::io_context& io, Clock& clock,
+             const ServerLimits& limits)
+      : socket(std::move(accepted)),
+        read_watchdog(clock, io.get_executor(), limits.read_bound,
+                      [this] { this->Close(); }),
+        write_watchdog(clock, io.get_executor(), limits.write_bound,
+                       [this] { this->Close(); }) {}
+
+  void Close() {
+    boost::system::error_code ignored;
+    this->socket.shutdown(tcp::socket::shutdown_both, ignored);
+    this->socket.close(ignored);
+    this->peer_gone = true;
+  }
+
+  /// Notices when the client closes while its request is served.
+  void WatchForEnd() {
+    this->socket.async_wait(
+        tcp::socket::wait_read,
+        [self = this->shared_from_this()](boost::system::error_code failure) {
+          if (!failure) {
+            self->CheckForEnd();
+          }
+        });
+  }
+
+  tcp::socket socket;
+  beast::flat_buffer buffer;
+  Watchdog read_watchdog;
+  Watchdog write_watchdog;
+  bool peer_gone = false;
+
+ private:
+  void CheckForEnd() {
+    if (!this->socket.is_open()) {
+      return;
+    }
+    char byte = 0;
+    const auto received =
+        ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (received == 0) {
+      this->peer_gone = true;
+    }
+  }
+};
+
+class ConnectionResponder : public Responder {
+ public:
+  ConnectionResponder(std::shared_ptr<Connection> open, bool keep)
+      : connection(std::move(open)), keep_alive(keep) {}
+
+  Task<Result<void>> Send(Response response) override {
+    this->answered = true;
+    response.keep_alive(this->keep_alive);
+    response.prepare_payload();
+    co_return co_await this->WriteMessage(response);
+  }
+
+  Task<Result<void>> BeginStream(Response head) override {
+    this->answered = true;
+    this->streaming = true;
+    beast::http::response<beast::http::empty_body> message(
+        std::move(head.base()));
+    message.erase(beast::http::field::content_length);
+    message.keep_alive(this->keep_alive);
+    message.chunked(true);
+    beast::http::response_serializer<beast::http::empty_body> serializer(
+        message);
+    this->connection->write_watchdog.Restart();
+    boost::system::error_code failure;
+    co_await beast::http::async_write_header(
+        this->connection->socket, serializer,
+        asio::redirect_error(asio::use_awaitable, failure));
+    this->connection->write_watchdog.Disarm();
+    co_return this->Check(failure);
+  }
+
+  Task<Result<void>> Write(std::string_view chunk) override {
+    if (chunk.empty()) {
+      co_return Ok();
+    }
+    co_return co_await this->WriteBuffers(
+        beast::http::make_chunk(asio::buffer(chunk.data(), chunk.size())));
+  }
+
+  Task<Result<void>> End() override {
+    this->streaming = false;
+    co_return co_await this->WriteBuffers(beast::http::make_chunk_last());
+  }
+
+  void Abort() override { this->connection->Close(); }
+
+  bool disconnected() const override { return this->connection->peer_gone; }
+
+  bool was_answered() const { return this->answered; }
+  bool is_streaming() const { return this->streaming; }
+
+ private:
+  template <class Message>
+  Task<Result<void>> WriteMessage(Message& message) {
+    this->connection->write_watchdog.Restart();
+    boost::system::error_code failure;
+    co_await beast::http::async_write(
+        this->connection->socket, message,
+        asio::redirect_error(asio::use_awaitable, failure));
+    this->connection->write_watchdog.Disarm();
+    co_return this->Check(failure);
+  }
+
+  template <class Buffers>
+  Task<Result<void>> WriteBuffers(Buffers buffers) {
+    this->connection->write_watchdog.Restart();
+    boost::system::error_code failure;
+    co_await asio::async_write(
+        this->connection->socket, buffers,
+        asio::redirect_error(asio::use_awaitable, failure));
+    this->connection->write_watchdog.Disarm();
+    co_return this->Check(failure);
+  }
+
+  Result<void> Check(const boost::system::error_code& failure) {
+    if (!failure) {
+      return Ok();
+    }
+    const bool late = this->connection->write_watchdog.expired();
+    this->connection->Close();
+    return Error{late ? ErrorCode::kTimeout : ErrorCode::kUnavailable,
+                 "http.respond", "client", failure.message()};
+  }
+
+  std::shared_ptr<Connection> connection;
+  bool keep_alive;
+  bool answered = false;
+  bool streaming = false;
+};
+
+/// Status for a request that could not be read; empty if the client is gone.
+std::optional<Status> StatusOfReadFailure(
+    const boost::system::error_code& failure) {
+  if (failure == beast::http::error::body_limit) {
+    return Status::payload_too_large;
+  }
+  if (failure == beast::http::error::header_limit) {
+    return Status::request_header_fields_too_large;
+  }
+  const bool malformed =
+      failure.category() ==
+          beast::http::make_error_code(beast::http::error::bad_version)
+              .category() &&
+      failure != beast::http::error::end_of_stream &&
+      failure != beast::http::error::partial_message;
+  return malformed ? std::optional(Status::bad_request) : std::nullopt;
+}
+
+std::string_view ReasonOf(Status status) {
+  const auto reason = beast::http::obsolete_reason(status);
+  return {reason.data(), reason.size()};
+}
+
+Response RefusalOf(Status status) {
+  Response response = MakeResponse(
+      status, R"({"error":{"message":")" + std::string(ReasonOf(status)) +
+                  R"(","type":"invalid_request","code":"malformed"},)" +
+                  R"("outcome":"not_run"})");
+  response.set("Quetzalpost-Outcome", "not_run");
+  return response;
+}
+
+using Parser = beast::http::request_parser<beast::http::string_body>;
+
+/// Reads one request; an error if the connection has to end.
+Task<boost::system::error_code> ReadRequest(
+    const std::shared_ptr<Connection>& connection, Parser& parser,
+    const ServerLimits& limits) {
+  boost::system::error_code failure;
+  if (connection->buffer.size() == 0) {
+    connection->read_watchdog.Restart(limits.idle_bound);
+    co_await connection->socket.async_wait(
+        tcp::socket::wait_read,
+        asio::redirect_error(asio::use_awaitable, failure));
+  }
+  if (!failure) {
+    connection->read_watchdog.Restart(limits.read_bound);
+    co_await beast::http::async_read(
+        connection->socket, connection->buffer, parser,
+        asio::redirect_error(asio::use_awaitable, failure));
+  }
+  connection->read_watchdog.Disarm();
+  co_return failure;
+}
+
+/// Serves one request; false if the connection has to end.
+Task<bool> ServeRequest(std::shared_ptr<Server::State> state,
+                        std::shared_ptr<Connection> connection) {
+  Parser parser;
+  parser.header_limit(state->limits.max_header_bytes);
+  parser.body_limit(state->limits.max_body_bytes);
+  const auto failure = co_await ReadRequest(connection, parser, state->limits);
+  if (failure) {
+    if (const auto status = StatusOfReadFailure(failure)) {
+      ConnectionResponder responder(connection, false);
+      co_await responder.Send(RefusalOf(*status));
+    }
+    co_return false;
+  }
+  Request request = parser.release();
+  const bool keep_alive = request.keep_alive() && !state->stopped;
+  ScopedCount in_flight(state->in_flight);
+  ConnectionResponder responder(connection, keep_alive);
+  connection->WatchForEnd();
+  co_await state->handler.Handle(std::move(request), responder);
+  if (!responder.was_answered()) {
+    co_await responder.Send(RefusalOf(Status::internal_server_error));
+  }
+  // A stream without its end must not look whole.
+  co_return keep_alive && !responder.is_streaming() &&
+      connection->socket.is_open();
+}
+
+Task<void> ServeConnection(std::shared_ptr<Server::State> state,
+                           std::shared_ptr<Connection> connection) {
+  ScopedCount count(state->connections);
+  bool proceed = true;
+  while (proceed) {
+    proceed = co_await ServeRequest(state, connection);
+  }
+  connection->Close();
+}
+
+Task<void> AcceptConnections(std::shared_ptr<Server::State> state) {
+  while (!state->stopped) {
+    boost::system::error_code failure;
+    tcp::socket socket = co_await state->acceptor.async_accept(
+        asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+      if (!state->acceptor.is_open()) {
+        co_return;
+      }
+      // Out of descriptors: wait for connections to end.
+      co_await SleepFor(state->clock, std::chrono::milliseconds(20));
+      continue;
+    }
+    if (state->connections >= state->limits.max_connections) {
+      continue;
+    }
+    socket.set_option(tcp::no_delay(true), failure);
+    auto connection = std::make_shared<Connection>(std::move(socket), state->io,
+                                                   state->clock, state->limits);
+    asio::co_spawn(state->io, ServeConnection(state, connection),
+                   asio::detached);
+  }
+}
+
+}  // namespace
+
+Server::Server(asio::io_context& io, Clock& clock, ServerLimits limits,
+               Handler& handler)
+    : state(std::make_shared<State>(io, clock, limits, handler)) {}
+
+Server::~Server() { this->Stop(); }
+
+Result<std::uint16_t> Server::Listen(std::string_view address) {
+  BOOST_OUTCOME_TRY(endpoint, ParseEndpoint(address));
+  boost::system::error_code failure;
+  auto& acceptor = this->state->acceptor;
+  acceptor.open(endpoint.protocol(), failure);
+  if (!failure) {
+    acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+    acceptor.bind(endpoint, failure);
+  }
+  if (!failure) {
+    acceptor.listen(asio::socket_base::max_listen_connections, failure);
+  }
+  if (failure) {
+    return Error{ErrorCode::kUnavailable, "http.listen", std::string(address),
+                 failure.message()};
+  }
+  asio::co_spawn(this->state->io, AcceptConnections(this->state),
+                 asio::detached);
+  return acceptor.local_endpoint().port();
+}
+
+void Server::Stop() {
+  this->state->stopped = true;
+  boost::system::error_code ignored;
+  this->state->acceptor.close(ignored);
+}
+
+std::size_t Server::requests_in_flight() const {
+  return this->state->in_flight;
+}
+
+}  // namespace qp::http
--- a/packages/http/src/http/server.h
+++ b/packages/http/src/http/server.h
@@ -65,8 +65,9 @@
 
   std::size_t requests_in_flight() const;
 
- private:
   struct State;
+
+ private:
   std::shared_ptr<State> state;
 };
 
--- /dev/null
+++ b/packages/http/tests/http/exchange_test.cc
@@ -0,0 +1,151 @@
+#include <catch2/catch.hpp>
+
+#include "foundation/wait.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "testing/test_runtime.h"
+
+using namespace std::chrono_literals;
+using qp::Task;
+
+namespace {
+
+/// Answers by path: /echo, /lines, /cut (a stream without its end) and /never.
+class EchoHandler : public qp::http::Handler {
+ public:
+  explicit EchoHandler(qp::Clock& time) : clock(time) {}
+
+  Task<void> Handle(qp::http::Request request,
+                    qp::http::Responder& responder) override {
+    const auto path = qp::http::PathOf(request);
+    if (path == "/echo") {
+      co_await responder.Send(
+          qp::http::MakeResponse(qp::http::Status::ok, request.body()));
+    } else if (path == "/never") {
+      co_await qp::SleepFor(this->clock, 1h);
+      this->saw_disconnect = responder.disconnected();
+    } else {
+      co_await this->Stream(responder, path == "/lines");
+    }
+  }
+
+  bool saw_disconnect = false;
+
+ private:
+  Task<void> Stream(qp::http::Responder& responder, bool whole) {
+    co_await responder.BeginStream(
+        qp::http::MakeResponse(qp::http::Status::ok, ""));
+    co_await responder.Write("one\ntw");
+    co_await responder.Write("o\n");
+    if (whole) {
+      co_await responder.End();
+    } else {
+      responder.Abort();
+    }
+  }
+
+  qp::Clock& clock;
+};
+
+struct Fixture {
+  Fixture() {
+    const auto port = this->server.Listen("127.0.0.1:0");
+    REQUIRE(port);
+    this->address = "127.0.0.1:" + std::to_string(port.value());
+  }
+
+  ~Fixture() {
+    this->server.Stop();
+    this->runtime.Settle();
+  }
+
+  auto Send(std::string_view target, std::string body,
+            qp::Duration bound = 5s) {
+    return this->runtime.RunFor(
+        this->client.Send(this->address,
+                          qp::http::MakeRequest(qp::http::Verb::post, target,
+                                                std::move(body)),
+                          bound),
+        10s);
+  }
+
+  static qp::http::ServerLimits Limits() {
+    qp::http::ServerLimits limits;
+    limits.max_body_bytes = 100;
+    return limits;
+  }
+
+  qp::testing::TestRuntime runtime;
+  EchoHandler handler{runtime.clock()};
+  qp::http::Server server{runtime.io(), runtime.clock(), Limits(), handler};
+  qp::http::Client client{runtime.io(), runtime.clock()};
+  std::string address;
+};
+
+}  // namespace
+
+TEST_CASE("Exchanges on a kept connection stay apart", "[http]") {
+  Fixture fixture;
+  for (const char* body : {"first", "second", "third"}) {
+    const auto response = fixture.Send("/echo", body);
+    REQUIRE(response.has_value());
+    REQUIRE(response->has_value());
+    CHECK(response->value().body() == body);
+  }
+}
+
+TEST_CASE("An answer that does not come within the bound has unknown effect",
+          "[http]") {
+  Fixture fixture;
+  const auto response = fixture.Send("/never", "x", 50ms);
+  REQUIRE(response.has_value());
+  REQUIRE(response->has_error());
+  CHECK(response->error().code == qp::ErrorCode::kUnknownEffect);
+  CHECK(response->error().peer == fixture.address);
+}
+
+TEST_CASE("A refused connection proves that nothing was sent", "[http]") {
+  Fixture fixture;
+  fixture.server.Stop();
+  const auto response = fixture.Send("/echo", "x");
+  REQUIRE(response.has_value());
+  REQUIRE(response->has_error());
+  CHECK(response->error().code == qp::ErrorCode::kUnavailable);
+}
+
+TEST_CASE("An oversized body is refused with 413", "[http]") {
+  Fixture fixture;
+  const auto response = fixture.Send("/echo", std::string(200, 'x'));
+  REQUIRE(response.has_value());
+  REQUIRE(response->has_value());
+  CHECK(response->value().result() == qp::http::Status::payload_too_large);
+}
+
+TEST_CASE("A streamed body is read line by line", "[http]") {
+  Fixture fixture;
+  const auto open = [&](std::string_view target) {
+    return fixture.runtime.RunFor(
+        fixture.client.Open(fixture.address,
+                            qp::http::MakeRequest(qp::http::Verb::get, target),
+                            1s),
+        2s);
+  };
+  const auto line_of = [&](qp::http::ResponseStream& stream) {
+    return *fixture.runtime.RunFor(stream.ReadLine(1s), 2s);
+  };
+
+  SECTION("whole lines come out although they arrive in pieces") {
+    auto stream = open("/lines");
+    REQUIRE((stream && stream->has_value()));
+    CHECK(line_of(*stream->value()).value() == "one");
+    CHECK(line_of(*stream->value()).value() == "two");
+    CHECK_FALSE(line_of(*stream->value()).value().has_value());
+  }
+  SECTION("a body without its end is an error and not an end") {
+    auto stream = open("/cut");
+    REQUIRE((stream && stream->has_value()));
+    CHECK(line_of(*stream->value()).value() == "one");
+    CHECK(line_of(*stream->value()).value() == "two");
+    CHECK(line_of(*stream->value()).has_error());
+  }
+}
--- a/packages/testing/src/testing/test_runtime.h
+++ b/packages/testing/src/testing/test_runtime.h
@@ -4,6 +4,7 @@
 #include <caf/actor_system_config.hpp>
 #include <caf/atom.hpp>
 #include <caf/scheduler/test_coordinator.hpp>
+#include <memory>
 #include <optional>
 
 #include "foundation/asio.h"
@@ -17,6 +18,12 @@
   PausedConfig() { this->set("scheduler.policy", caf::atom("testing")); }
 };
 
+// Results have no default value, so co_spawn can't hand them to a callback.
+template <class T>
+Task<void> Store(Task<T> task, std::shared_ptr<std::optional<T>> result) {
+  result->emplace(co_await std::move(task));
+}
+
 }  // namespace detail
 
 /// Actor system with a paused clock and an io_context, both driven by the
@@ -65,19 +72,16 @@
   /// task has not ended by then.
   template <class T>
   std::optional<T> RunFor(Task<T> task, Duration bound) {
-    std::optional<T> result;
-    asio::co_spawn(this->context, std::move(task),
-                   [&result](std::exception_ptr failure, T value) {
-                     if (!failure) {
-                       result.emplace(std::move(value));
-                     }
-                   });
+    // Shared, since the task may outlive this call.
+    auto result = std::make_shared<std::optional<T>>();
+    asio::co_spawn(this->context, detail::Store(std::move(task), result),
+                   asio::detached);
     this->Settle();
     const auto deadline = this->caf_clock->Now() + bound;
-    while (!result && this->caf_clock->Now() < deadline) {
+    while (!result->has_value() && this->caf_clock->Now() < deadline) {
       this->Advance(std::chrono::milliseconds(1));
     }
-    return result;
+    return std::move(*result);
   }
 
  private:
