--- a/packages/http/src/http/server.cc
+++ b/packages/http/src/http/server.cc
@@ -6,6 +6,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
+#include <tuple>
 #include <unordered_set>
 
 #include "foundation/wait.h"
@@ -255,7 +256,7 @@
   if (failure) {
     if (const auto status = StatusOfReadFailure(failure)) {
       ConnectionResponder responder(connection, false);
-      co_await responder.Send(RefusalOf(*status));
+      std::ignore = co_await responder.Send(RefusalOf(*status));
     }
     co_return false;
   }
@@ -266,7 +267,8 @@
   connection->WatchForEnd();
   co_await state->handler.Handle(std::move(request), responder);
   if (!responder.was_answered()) {
-    co_await responder.Send(RefusalOf(Status::internal_server_error));
+    std::ignore =
+        co_await responder.Send(RefusalOf(Status::internal_server_error));
   }
   // A stream without its end must not look whole.
   co_return keep_alive && !responder.is_streaming() &&
--- a/packages/http/tests/http/exchange_test.cc
+++ b/packages/http/tests/http/exchange_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <tuple>
 
 #include "foundation/wait.h"
 #include "http/client.h"
@@ -19,7 +20,7 @@
                     qp::http::Responder& responder) override {
     const auto path = qp::http::PathOf(request);
     if (path == "/echo") {
-      co_await responder.Send(
+      std::ignore = co_await responder.Send(
           qp::http::MakeResponse(qp::http::Status::ok, request.body()));
     } else if (path == "/never") {
       co_await qp::SleepFor(this->clock, 1h);
@@ -33,12 +34,12 @@
 
  private:
   Task<void> Stream(qp::http::Responder& responder, bool whole) {
-    co_await responder.BeginStream(
+    std::ignore = co_await responder.BeginStream(
         qp::http::MakeResponse(qp::http::Status::ok, ""));
-    co_await responder.Write("one\ntw");
-    co_await responder.Write("o\n");
+    std::ignore = co_await responder.Write("one\ntw");
+    std::ignore = co_await responder.Write("o\n");
     if (whole) {
-      co_await responder.End();
+      std::ignore = co_await responder.End();
     } else {
       responder.Abort();
     }
--- /dev/null
+++ b/packages/platform/src/platform/http_vm_list.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "foundation/clock.h"
+#include "platform/vm_list.h"
+
+namespace qp::http {
+class Client;
+}  // namespace qp::http
+
+namespace qp {
+
+/// The platform's VM list over HTTP.
+class HttpVmList : public VmList {
+ public:
+  static constexpr Duration kBound = std::chrono::seconds(2);
+
+  HttpVmList(http::Client& client, std::string address);
+
+  Task<Result<std::vector<Vm>>> Fetch() override;
+
+ private:
+  http::Client& client;
+  std::string address;
+};
+
+}  // namespace qp
