--- a/cmake/QpPackage.cmake
+++ b/cmake/QpPackage.cmake
@@ -25,6 +25,7 @@
   if(tests)
     add_executable(qp_${name}_tests ${tests} ${CMAKE_SOURCE_DIR}/packages/testing/src/testing/catch_main.cc)
     target_include_directories(qp_${name}_tests PRIVATE ${CMAKE_SOURCE_DIR}/packages/testing/src ${root}/tests)
+    target_compile_definitions(qp_${name}_tests PRIVATE QP_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
     target_link_libraries(qp_${name}_tests PRIVATE qp_${name} qp_options rapidcheck caf_core)
     add_test(NAME ${name} COMMAND qp_${name}_tests)
     # RapidCheck draws from this fixed seed, so that a run can be repeated.
--- a/packages/foundation/src/foundation/event.cc
+++ b/packages/foundation/src/foundation/event.cc
@@ -131,6 +131,21 @@
 
 std::span<const EventInfo> EventCatalogue() { return kCatalogue; }
 
+std::string EventCatalogueMarkdown() {
+  std::string page =
+      "# Events\n\nEvery log line and every entry of the time line has one of "
+      "these numbers.\nThis page is the output of `quetzalpostd "
+      "--list-events`; a test compares the two.\n\n"
+      "| number | name | severity | meaning |\n|---|---|---|---|\n";
+  for (const EventInfo& info : kCatalogue) {
+    page += "| " + std::to_string(static_cast<int>(info.id)) + " | `" +
+            std::string(info.name) + "` | " +
+            std::string(ToString(info.severity)) + " | " +
+            std::string(info.summary) + " |\n";
+  }
+  return page;
+}
+
 const EventInfo& InfoOf(EventId id) {
   const auto found = std::lower_bound(
       kCatalogue.begin(), kCatalogue.end(), id,
--- a/packages/foundation/src/foundation/event.h
+++ b/packages/foundation/src/foundation/event.h
@@ -81,6 +81,9 @@
 /// All events, ordered by number.
 std::span<const EventInfo> EventCatalogue();
 
+/// The catalogue as a Markdown page, docs/events.md.
+std::string EventCatalogueMarkdown();
+
 /// Entry of `id`; every EventId has one.
 const EventInfo& InfoOf(EventId id);
 
--- a/packages/foundation/tests/foundation/timeline_test.cc
+++ b/packages/foundation/tests/foundation/timeline_test.cc
@@ -1,7 +1,9 @@
 #include "foundation/timeline.h"
 
 #include <catch2/catch.hpp>
+#include <fstream>
 #include <set>
+#include <sstream>
 
 #include "testing/test_runtime.h"
 
@@ -45,3 +47,10 @@
     CHECK(&qp::InfoOf(info.id) == &info);
   }
 }
+
+TEST_CASE("The page of events is the catalogue", "[event]") {
+  std::ifstream file(std::string(QP_SOURCE_DIR) + "/docs/events.md");
+  std::ostringstream page;
+  page << file.rdbuf();
+  CHECK(page.str() == qp::EventCatalogueMarkdown());
+}
