--- a/packages/config/tests/config/configuration_json_test.cc
+++ b/packages/config/tests/config/configuration_json_test.cc
@@ -46,6 +46,7 @@
   qp::ReadConfiguration(document, mistakes);
 
   std::vector<std::string> pointers;
+  pointers.reserve(mistakes.size());
   for (const auto& mistake : mistakes) {
     pointers.push_back(mistake.pointer);
   }
--- a/packages/platform/src/platform/table.h
+++ b/packages/platform/src/platform/table.h
@@ -41,6 +41,14 @@
   TableCondition condition;
 };
 
+/// Transaction of one operation. GCC 12 fails on an initializer list inside
+/// of a coroutine.
+inline std::vector<TableOperation> Single(TableOperation operation) {
+  std::vector<TableOperation> operations;
+  operations.push_back(std::move(operation));
+  return operations;
+}
+
 struct OperationResult {
   bool applied = false;
   std::uint64_t version = 0;  ///< Of the item after the operation.
