--- a/packages/platform/src/platform/usage_store.cc
+++ b/packages/platform/src/platform/usage_store.cc
@@ -87,6 +87,7 @@
         static_cast<double>(MinutesOf(item).count()) / kMinutesPerHour;
   }
   std::vector<UsedHours> summed;
+  summed.reserve(hours.size());
   for (const auto& [group, sum] : hours) {
     summed.push_back({group.first, group.second, sum});
   }
