Add the request life cycle, claims and grouped table writes

Cause: calls had interfaces only. Change: PipelineChatService with PipelineCall and TokenSequence, OncePlainService with ClaimProtocol, and GroupedTable.

--- /dev/null
+++ b/packages/calls/src/calls/claim_item.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "calls/claim.h"
+#include "foundation/clock.h"
+
+namespace qp {
+
+/// A service's answer as it is kept in a claim.
+struct StoredAnswer {
+  int status = 0;  ///< HTTP status.
+  std::string body;
+};
+
+enum class ClaimItemState { kStarted, kDone, kReleased };
+
+/// Value of a claim's item in the table.
+struct ClaimItem {
+  ClaimItemState state = ClaimItemState::kStarted;
+  std::string nonce;
+  std::string digest;
+  StoredAnswer answer;        ///< With kDone.
+  WallMillis written_at = 0;  ///< Lets the sweep find items older than 24 h.
+};
+
+/// Names of the item's members that conditions refer to.
+inline constexpr std::string_view kClaimNonceField = "nonce";
+
+nlohmann::json ToJson(const ClaimItem& item);
+
+/// Empty if `value` is not a claim.
+std::optional<ClaimItem> ParseClaimItem(const nlohmann::json& value);
+
+}  // namespace qp
--- /dev/null
+++ b/packages/calls/src/calls/claim_protocol.cc
@@ -0,0 +1,284 @@
+#include "calls/claim_protocol.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <utility>
+
+#include "foundation/wait.h"
+
+namespace qp {
+
+/// Progress of one claim; shared with the coroutine that negotiates it, which
+/// may still wait for the table after the caller was answered.
+struct ClaimProtocol::Attempt {
+  Attempt(std::shared_ptr<Claim> owned, asio::io_context::executor_type io)
+      : claim(std::move(owned)), ended(io) {}
+
+  std::shared_ptr<Claim> claim;
+  TableCondition condition = IfAbsent{};
+  /// A write of this nonce may be in the table or on its way there.
+  bool maybe_written = false;
+  /// The key may be held by another nonce.
+  bool other_claim = false;
+  TimePoint busy_until{};  ///< Set once another claim was seen in progress.
+  Duration pause{};        ///< Before the next step.
+  std::optional<ClaimDecision> decision;
+  Signal ended;
+};
+
+ClaimProtocol::ClaimProtocol(Clock& time, Table& claims, EventSink& sink,
+                             std::uint64_t seed)
+    : clock(time), table(claims), events(sink), random(seed) {}
+
+Task<ClaimDecision> ClaimProtocol::Acquire(std::string key, std::string digest,
+                                           TimePoint deadline) {
+  const auto executor = co_await asio::this_coro::executor;
+  const auto io = *executor.target<asio::io_context::executor_type>();
+  auto claim = std::make_shared<Claim>(std::move(key), this->DrawNonce(),
+                                       std::move(digest));
+  auto attempt = std::make_shared<Attempt>(claim, io);
+  asio::co_spawn(executor, this->Negotiate(attempt), asio::detached);
+  const auto until = std::min(deadline, this->clock.Now() + kClaimBound);
+  while (!attempt->decision && this->clock.Now() < until) {
+    co_await attempt->ended.WaitFor(this->clock, until - this->clock.Now());
+  }
+  if (!attempt->decision) {
+    this->events.Record(EventId::kClaimUnresolved, {{"key", claim->key()}});
+    const bool other = attempt->other_claim;
+    this->Finish(*attempt, other ? ClaimVerdict::kInProgress
+                                 : ClaimVerdict::kUndetermined);
+    this->Release(claim, executor);
+  }
+  co_return *attempt->decision;
+}
+
+Task<void> ClaimProtocol::Negotiate(std::shared_ptr<Attempt> attempt) {
+  while (!attempt->decision) {
+    co_await this->WriteClaim(attempt);
+    if (!attempt->decision) {
+      co_await this->ReadBack(attempt);
+    }
+    while (!attempt->decision && attempt->busy_until > TimePoint{}) {
+      co_await SleepFor(this->clock, kBusyPoll);
+      if (!attempt->decision) {
+        co_await this->ReadBack(attempt);
+      }
+    }
+    if (!attempt->decision && attempt->pause > Duration(0)) {
+      co_await SleepFor(this->clock, std::exchange(attempt->pause, {}));
+    }
+  }
+}
+
+Task<void> ClaimProtocol::WriteClaim(std::shared_ptr<Attempt> attempt) {
+  TableOperation write =
+      this->MakeWrite(*attempt->claim, ClaimItemState::kStarted);
+  write.condition = attempt->condition;
+  std::vector<TableOperation> operations;
+  operations.push_back(std::move(write));
+  auto result =
+      co_await this->table.Transact(TransactMode::kEach, std::move(operations));
+  if (attempt->decision) {
+    co_return;
+  }
+  if (result.has_error()) {
+    const bool nothing_written = result.error().code == ErrorCode::kUnavailable;
+    if (nothing_written && !attempt->maybe_written) {
+      this->Finish(*attempt, ClaimVerdict::kTableOut);
+    }
+    attempt->maybe_written = attempt->maybe_written || !nothing_written;
+    attempt->pause = kReadBackPause;
+    co_return;
+  }
+  const auto& results = result.value();
+  if (results.size() == 1 && results.front().applied) {
+    this->Finish(*attempt, ClaimVerdict::kHeld);
+    co_return;
+  }
+  // The item exists. Only without an earlier write of its own is it certain
+  // to be another claim's, but until it is read it must count as one.
+  attempt->other_claim = true;
+}
+
+Task<void> ClaimProtocol::ReadBack(std::shared_ptr<Attempt> attempt) {
+  auto read = co_await this->table.Read(attempt->claim->key());
+  if (attempt->decision) {
+    co_return;
+  }
+  if (read.has_error()) {
+    attempt->pause = kReadBackPause;
+    if (attempt->busy_until > TimePoint{} &&
+        this->clock.Now() >= attempt->busy_until) {
+      this->Finish(*attempt, ClaimVerdict::kInProgress);
+    }
+    co_return;
+  }
+  if (!read.value()) {
+    // The write was lost or is still on its way; the same write again is safe.
+    attempt->condition = IfAbsent{};
+    attempt->other_claim = false;
+    attempt->busy_until = {};
+    co_return;
+  }
+  this->Judge(*attempt, *read.value());
+}
+
+void ClaimProtocol::Judge(Attempt& attempt, const TableItem& item) {
+  const auto found = ParseClaimItem(item.value);
+  if (found && found->nonce == attempt.claim->nonce()) {
+    this->Finish(attempt, ClaimVerdict::kHeld);
+    return;
+  }
+  if (found && found->state == ClaimItemState::kReleased) {
+    // The version keeps a late write of this claim from replacing a later one.
+    attempt.condition = IfVersion{item.version};
+    attempt.other_claim = false;
+    attempt.busy_until = {};
+    return;
+  }
+  attempt.other_claim = true;
+  if (found && found->digest != attempt.claim->digest()) {
+    this->Finish(attempt, ClaimVerdict::kOtherBody);
+    return;
+  }
+  if (found && found->state == ClaimItemState::kDone) {
+    this->Finish(attempt, ClaimVerdict::kAnswered);
+    attempt.decision->answer = found->answer;
+    return;
+  }
+  if (attempt.busy_until == TimePoint{}) {
+    attempt.busy_until = this->clock.Now() + kBusyWait;
+  }
+  if (this->clock.Now() >= attempt.busy_until) {
+    this->Finish(attempt, ClaimVerdict::kInProgress);
+  }
+}
+
+void ClaimProtocol::Finish(Attempt& attempt, ClaimVerdict verdict) {
+  attempt.decision.emplace();
+  attempt.decision->verdict = verdict;
+  if (verdict == ClaimVerdict::kHeld) {
+    attempt.claim->TryHold();
+    attempt.decision->claim = attempt.claim;
+    this->events.Record(EventId::kClaimWon, {{"key", attempt.claim->key()}});
+  } else {
+    attempt.claim->TryAbandon();
+    if (attempt.other_claim) {
+      this->events.Record(EventId::kClaimLost, {{"key", attempt.claim->key()}});
+    }
+  }
+  attempt.ended.NotifyAll();
+}
+
+bool ClaimProtocol::Release(const std::shared_ptr<Claim>& claim,
+                            const asio::any_io_executor& executor) {
+  if (!claim->TryAbandon()) {
+    return false;
+  }
+  ++this->background;
+  asio::co_spawn(executor, this->WriteRelease(claim), asio::detached);
+  return true;
+}
+
+void ClaimProtocol::Complete(std::shared_ptr<Claim> claim, StoredAnswer answer,
+                             const asio::any_io_executor& executor) {
+  ++this->background;
+  asio::co_spawn(executor,
+                 this->WriteAnswer(std::move(claim), std::move(answer)),
+                 asio::detached);
+}
+
+Task<void> ClaimProtocol::WriteRelease(std::shared_ptr<Claim> claim) {
+  Duration backoff = kFirstBackoff;
+  for (;;) {
+    const bool settled = co_await this->TryWriteRelease(claim);
+    if (settled) {
+      break;
+    }
+    co_await SleepFor(this->clock, backoff);
+    backoff = std::min(kMaxBackoff, 2 * backoff);
+  }
+  --this->background;
+  this->events.Record(EventId::kClaimReleased, {{"key", claim->key()}});
+}
+
+/// True once no write of this claim can be, or become, the key's `started`.
+Task<bool> ClaimProtocol::TryWriteRelease(std::shared_ptr<Claim> claim) {
+  TableOperation own = this->MakeWrite(*claim, ClaimItemState::kReleased);
+  // Writing also where the item is absent blocks a claim write still underway.
+  own.condition = IfField{std::string(kClaimNonceField), claim->nonce(), true};
+  const auto released = co_await this->WriteOne(std::move(own));
+  if (!released || released->applied) {
+    co_return released.has_value();
+  }
+  auto read = co_await this->table.Read(claim->key());
+  if (read.has_error() || !read.value()) {
+    co_return false;
+  }
+  const auto found = ParseClaimItem(read.value()->value);
+  if (!found || found->state != ClaimItemState::kReleased ||
+      found->nonce == claim->nonce()) {
+    co_return true;
+  }
+  // A claim write underway may expect this version of another's release.
+  TableOperation renew = this->MakeWrite(*claim, ClaimItemState::kReleased);
+  renew.condition = IfVersion{read.value()->version};
+  const auto renewed = co_await this->WriteOne(std::move(renew));
+  co_return renewed && renewed->applied;
+}
+
+Task<void> ClaimProtocol::WriteAnswer(std::shared_ptr<Claim> claim,
+                                      StoredAnswer answer) {
+  Duration backoff = kFirstBackoff;
+  for (;;) {
+    ClaimItem item{ClaimItemState::kDone, claim->nonce(), claim->digest(),
+                   answer, this->clock.WallNow()};
+    TableOperation write;
+    write.key = claim->key();
+    write.put = ToJson(item);
+    write.condition =
+        IfField{std::string(kClaimNonceField), claim->nonce(), false};
+    const auto result = co_await this->WriteOne(std::move(write));
+    if (result) {
+      break;
+    }
+    co_await SleepFor(this->clock, backoff);
+    backoff = std::min(kMaxBackoff, 2 * backoff);
+  }
+  --this->background;
+  this->events.Record(EventId::kOnceCallFinished, {{"key", claim->key()}});
+}
+
+Task<std::optional<OperationResult>> ClaimProtocol::WriteOne(
+    TableOperation operation) {
+  std::vector<TableOperation> operations;
+  operations.push_back(std::move(operation));
+  auto result =
+      co_await this->table.Transact(TransactMode::kEach, std::move(operations));
+  if (result.has_error() || result.value().size() != 1) {
+    co_return std::nullopt;
+  }
+  co_return result.value().front();
+}
+
+TableOperation ClaimProtocol::MakeWrite(const Claim& claim,
+                                        ClaimItemState state) const {
+  TableOperation write;
+  write.key = claim.key();
+  write.put =
+      ToJson({state, claim.nonce(), claim.digest(), {}, this->clock.WallNow()});
+  return write;
+}
+
+std::string ClaimProtocol::DrawNonce() {
+  std::array<char, 33> hex{};
+  const std::uint64_t high = this->random();
+  const std::uint64_t low = this->random();
+  std::snprintf(hex.data(), hex.size(), "%016llx%016llx",
+                static_cast<unsigned long long>(high),  // NOLINT
+                static_cast<unsigned long long>(low));  // NOLINT
+  return hex.data();
+}
+
+}  // namespace qp
--- /dev/null
+++ b/packages/calls/src/calls/disconnect_watch.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "foundation/asio.h"
+#include "foundation/clock.h"
+
+namespace qp {
+
+class TokenSink;
+
+/// Calls a function on `executor` once the caller behind a sink is gone,
+/// unless destroyed before. The sink must outlive the watch.
+class DisconnectWatch {
+ public:
+  /// Bounds the work that engines do for a caller that is gone.
+  static constexpr Duration kPollInterval = std::chrono::milliseconds(100);
+
+  DisconnectWatch(Clock& clock, asio::any_io_executor executor,
+                  const TokenSink& sink, std::function<void()> on_disconnect);
+  ~DisconnectWatch();
+  DisconnectWatch(const DisconnectWatch&) = delete;
+  DisconnectWatch& operator=(const DisconnectWatch&) = delete;
+
+ private:
+  struct State;
+  static void ScheduleNext(const std::shared_ptr<State>& state);
+
+  std::shared_ptr<State> state;
+};
+
+}  // namespace qp
--- /dev/null
+++ b/packages/calls/src/calls/once_plain_service.cc
@@ -0,0 +1,262 @@
+#include "calls/once_plain_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "calls/retry_after.h"
+
+// GCC bug 109224: false warning where a coroutine's frame operators of Asio
+// are inlined.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
+namespace qp {
+
+namespace {
+
+/// Codes with which a service client reports that the call did not start.
+bool NeverStarted(ErrorCode code) {
+  return code == ErrorCode::kUnavailable || code == ErrorCode::kRefused;
+}
+
+ServiceResponse Complete(int status, std::string body) {
+  ServiceResponse response;
+  response.result.outcome = Outcome::kComplete;
+  response.status = status;
+  response.body = std::move(body);
+  return response;
+}
+
+Error NoServer() {
+  return {ErrorCode::kUnavailable, "service.route", "",
+          "no server of the service is routable"};
+}
+
+}  // namespace
+
+OncePlainService::OncePlainService(Clock& time, const Blackboard& board,
+                                   Table& table, ServiceClient& client,
+                                   policy::Admission& door,
+                                   policy::ServiceRouter& servers,
+                                   policy::RetryBudget& budget, EventSink& sink,
+                                   std::uint64_t seed)
+    : clock(time),
+      blackboard(board),
+      services(client),
+      admission(door),
+      router(servers),
+      retries(budget),
+      events(sink),
+      random(seed),
+      claims(time, table, sink, this->random()) {}
+
+Task<ServiceResponse> OncePlainService::Run(ServiceRequest request) {
+  bool idempotent = false;
+  if (auto refused = this->Enter(request, idempotent)) {
+    co_return std::move(*refused);
+  }
+  Progress progress;
+  progress.deadline = this->clock.Now() + request.deadline;
+  progress.request = std::move(request);
+  if (idempotent) {
+    co_return co_await this->RunIdempotent(progress);
+  }
+  co_return co_await this->RunOnce(progress);
+}
+
+std::optional<ServiceResponse> OncePlainService::Enter(
+    const ServiceRequest& request, bool& idempotent) {
+  const auto view = this->blackboard.configuration.Read();
+  const auto& configuration = view->value.configuration;
+  if (!configuration) {
+    return this->NotRun({ErrorCode::kUnavailable, "service.admit", "",
+                         "no configuration is in force yet"},
+                        true);
+  }
+  const auto* operation =
+      configuration->FindOperation(request.service, request.operation);
+  if (operation == nullptr) {
+    return this->NotRun({ErrorCode::kNotFound, "service.admit", "",
+                         "no class has this service and operation"},
+                        false);
+  }
+  idempotent = operation->idempotent;
+  const auto& key = request.idempotency_key;
+  if (!idempotent && (key.empty() || key.size() > kMaxKeyLength)) {
+    return this->NotRun({ErrorCode::kInvalidArgument, "service.admit", "",
+                         "the operation needs an Idempotency-Key of 1 to 256 "
+                         "characters"},
+                        false);
+  }
+  policy::AdmissionRequest ask;
+  ask.class_name = operation->name;
+  ask.workspace = request.workspace;
+  ask.deadline = request.deadline;
+  const auto decision = this->admission.Decide(ask, this->clock.Now());
+  if (!decision.admitted()) {
+    auto refused =
+        this->NotRun({ErrorCode::kUnavailable, "service.admit", "",
+                      std::string(policy::ToString(decision.reason))},
+                     true);
+    refused.result.retry_after = decision.retry_after;
+    return refused;
+  }
+  this->retries.OnFirstTry();
+  return std::nullopt;
+}
+
+Task<ServiceResponse> OncePlainService::RunIdempotent(Progress& progress) {
+  Error failure = NoServer();
+  for (;;) {
+    auto server = this->ChooseServer(progress);
+    if (!server || this->Remaining(progress) <= Duration(0)) {
+      co_return this->GiveUp(progress, std::move(failure));
+    }
+    if (!progress.excluded.empty() && !this->retries.TryTake()) {
+      co_return this->GiveUp(progress, std::move(failure));
+    }
+    progress.excluded.push_back(server->name);
+    const Duration bound = this->TryBound(progress);
+    auto reply = co_await this->CallServer(progress, std::move(*server), bound);
+    if (reply.has_value()) {
+      co_return Complete(reply.value().status, std::move(reply.value().body));
+    }
+    failure = std::move(reply.error());
+    progress.may_have_run =
+        progress.may_have_run || !NeverStarted(failure.code);
+  }
+}
+
+Task<ServiceResponse> OncePlainService::RunOnce(Progress& progress) {
+  if (!this->ChooseServer(progress)) {
+    co_return this->NotRun(NoServer(), true);
+  }
+  const auto& request = progress.request;
+  std::string key =
+      ClaimItemKey(request.workspace, request.service, request.idempotency_key);
+  std::string digest = ClaimDigest(request.operation, request.body);
+  const ClaimDecision decision = co_await this->claims.Acquire(
+      std::move(key), std::move(digest), progress.deadline);
+  if (decision.verdict != ClaimVerdict::kHeld) {
+    co_return this->AnswerClaim(decision);
+  }
+  co_return co_await this->SendClaimed(progress, decision.claim);
+}
+
+Task<ServiceResponse> OncePlainService::SendClaimed(
+    Progress& progress, std::shared_ptr<Claim> claim) {
+  const auto executor = co_await asio::this_coro::executor;
+  Error failure = NoServer();
+  for (;;) {
+    auto server = this->ChooseServer(progress);
+    // A paused daemon resumes here; its caller may no longer wait.
+    const Duration left = this->Remaining(progress);
+    const bool retry = !progress.excluded.empty();
+    if (!server || left <= Duration(0) || (retry && !this->retries.TryTake()) ||
+        !claim->TrySend()) {
+      this->claims.Release(claim, executor);
+      co_return this->NotRun(std::move(failure), true);
+    }
+    this->events.Record(EventId::kOnceCallSent,
+                        {{"request", progress.request.request_id},
+                         {"key", claim->key()},
+                         {"server", server->name}});
+    progress.excluded.push_back(server->name);
+    auto reply = co_await this->CallServer(progress, std::move(*server), left);
+    if (reply.has_value()) {
+      StoredAnswer answer{reply.value().status, reply.value().body};
+      this->claims.Complete(claim, std::move(answer), executor);
+      co_return Complete(reply.value().status, std::move(reply.value().body));
+    }
+    failure = std::move(reply.error());
+    if (!NeverStarted(failure.code)) {
+      co_return this->Unknown(std::move(failure));
+    }
+    claim->TakeBack();
+  }
+}
+
+Task<Result<ServiceReply>> OncePlainService::CallServer(
+    const Progress& progress, Backend server, Duration bound) {
+  ServiceCall call;
+  call.operation = progress.request.operation;
+  call.request_id = progress.request.request_id;
+  call.idempotency_key = progress.request.idempotency_key;
+  call.body = progress.request.body;
+  this->router.OnStarted(server.name);
+  auto reply = co_await this->services.Call(std::move(server.address),
+                                            std::move(call), bound);
+  this->router.OnFinished(server.name);
+  co_return reply;
+}
+
+std::optional<Backend> OncePlainService::ChooseServer(
+    const Progress& progress) {
+  const auto backends = this->blackboard.backends.Read();
+  return this->router.Choose(backends->value, progress.request.service,
+                             progress.excluded);
+}
+
+Duration OncePlainService::TryBound(const Progress& progress) {
+  const Duration left = this->Remaining(progress);
+  // Half of the time stays for another server, if there is one.
+  return this->ChooseServer(progress)
+             ? std::min(left, std::max(kMinTryBound, left / 2))
+             : left;
+}
+
+Duration OncePlainService::Remaining(const Progress& progress) const {
+  return std::max(Duration(0), progress.deadline - this->clock.Now());
+}
+
+ServiceResponse OncePlainService::AnswerClaim(const ClaimDecision& decision) {
+  switch (decision.verdict) {
+    case ClaimVerdict::kAnswered:
+      return Complete(decision.answer->status, decision.answer->body);
+    case ClaimVerdict::kOtherBody:
+      return this->NotRun({ErrorCode::kInvalidArgument, "service.claim", "",
+                           "the Idempotency-Key was used with another request"},
+                          false);
+    case ClaimVerdict::kTableOut:
+      return this->NotRun({ErrorCode::kUnavailable, "service.claim", "",
+                           "the table service does not answer"},
+                          true);
+    case ClaimVerdict::kUndetermined:
+      return this->NotRun({ErrorCode::kTimeout, "service.claim", "",
+                           "the claim could not be determined in time"},
+                          true);
+    case ClaimVerdict::kInProgress:
+    case ClaimVerdict::kHeld:
+      break;
+  }
+  return this->Unknown({ErrorCode::kConflict, "service.claim", "",
+                        "a call with this Idempotency-Key may have run"});
+}
+
+ServiceResponse OncePlainService::NotRun(Error error, bool retry) {
+  ServiceResponse response;
+  response.result.outcome = Outcome::kNotRun;
+  response.result.error = std::move(error);
+  if (retry) {
+    response.result.retry_after = SpreadRetryAfter(this->random);
+  }
+  return response;
+}
+
+ServiceResponse OncePlainService::Unknown(Error error) {
+  ServiceResponse response;
+  response.result.outcome = Outcome::kUnknown;
+  response.result.error = std::move(error);
+  return response;
+}
+
+ServiceResponse OncePlainService::GiveUp(const Progress& progress,
+                                         Error error) {
+  if (!progress.may_have_run) {
+    return this->NotRun(std::move(error), true);
+  }
+  auto response = this->Unknown(std::move(error));
+  response.result.retry_after = SpreadRetryAfter(this->random);
+  return response;
+}
+
+}  // namespace qp
--- /dev/null
+++ b/packages/calls/src/calls/once_plain_service.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "blackboard/blackboard.h"
+#include "calls/claim_protocol.h"
+#include "calls/plain_service.h"
+#include "calls/service_client.h"
+#include "foundation/event.h"
+#include "policy/admission.h"
+#include "policy/chain_router.h"
+#include "policy/retry_budget.h"
+
+namespace qp {
+
+/// Serves calls of plain services. Operations of idempotent classes are
+/// retried on other servers; all others are sent under a claim.
+///
+/// The outcome not_run speaks of the request at hand: its call was not sent
+/// and never will be. An earlier request with the same key may have run.
+class OncePlainService final : public PlainService {
+ public:
+  /// Shortest time that one server gets while others could be tried.
+  static constexpr Duration kMinTryBound = std::chrono::milliseconds(250);
+  /// Keeps claim keys within what a table item's key may hold.
+  static constexpr std::size_t kMaxKeyLength = 256;
+
+  /// `seed` must differ between processes, see ClaimProtocol.
+  OncePlainService(Clock& clock, const Blackboard& blackboard, Table& table,
+                   ServiceClient& services, policy::Admission& admission,
+                   policy::ServiceRouter& router, policy::RetryBudget& retries,
+                   EventSink& events, std::uint64_t seed);
+
+  Task<ServiceResponse> Run(ServiceRequest request) override;
+
+  /// Claim writes in the background; a planned stop waits for zero.
+  std::size_t unsettled_claims() const { return this->claims.unsettled(); }
+
+ private:
+  /// A request on its way through the servers of its service.
+  struct Progress {
+    ServiceRequest request;
+    TimePoint deadline;
+    std::vector<std::string> excluded;  ///< Servers that failed it.
+    bool may_have_run = false;
+  };
+
+  std::optional<ServiceResponse> Enter(const ServiceRequest& request,
+                                       bool& idempotent);
+  Task<ServiceResponse> RunIdempotent(Progress& progress);
+  Task<ServiceResponse> RunOnce(Progress& progress);
+  Task<ServiceResponse> SendClaimed(Progress& progress,
+                                    std::shared_ptr<Claim> claim);
+  Task<Result<ServiceReply>> CallServer(const Progress& progress,
+                                        Backend server, Duration bound);
+  std::optional<Backend> ChooseServer(const Progress& progress);
+  Duration TryBound(const Progress& progress);
+  Duration Remaining(const Progress& progress) const;
+  ServiceResponse AnswerClaim(const ClaimDecision& decision);
+  ServiceResponse NotRun(Error error, bool retry);
+  ServiceResponse Unknown(Error error);
+  ServiceResponse GiveUp(const Progress& progress, Error error);
+
+  Clock& clock;
+  const Blackboard& blackboard;
+  ServiceClient& services;
+  policy::Admission& admission;
+  policy::ServiceRouter& router;
+  policy::RetryBudget& retries;
+  EventSink& events;
+  std::mt19937_64 random;
+  ClaimProtocol claims;
+};
+
+}  // namespace qp
--- /dev/null
+++ b/packages/calls/src/calls/pipeline_call.cc
@@ -0,0 +1,393 @@
+#include "calls/pipeline_call.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "calls/disconnect_watch.h"
+#include "calls/retry_after.h"
+#include "foundation/hash.h"
+
+namespace qp {
+
+namespace {
+
+/// Codes with which an engine client reports that a stream was never started.
+bool NeverStarted(ErrorCode code) {
+  return code == ErrorCode::kUnavailable || code == ErrorCode::kRefused;
+}
+
+/// Whether an engine that failed in this way still answers other requests.
+bool StillAnswers(ErrorCode code) {
+  return code == ErrorCode::kRefused || code == ErrorCode::kProtocol;
+}
+
+RouteStage ToRouteStage(const policy::ChainStage& stage) {
+  return {stage.engine, stage.address, stage.first_layer, stage.last_layer};
+}
+
+const policy::ChainStage* FindEngine(const policy::Chain& chain,
+                                     std::string_view engine) {
+  for (const auto& stage : chain.stages) {
+    if (stage.engine == engine || stage.address == engine) {
+      return &stage;
+    }
+  }
+  return nullptr;
+}
+
+const policy::ChainStage* FindLayers(const policy::Chain& chain,
+                                     const policy::ChainStage& wanted) {
+  for (const auto& stage : chain.stages) {
+    if (stage.first_layer == wanted.first_layer &&
+        stage.last_layer == wanted.last_layer) {
+      return &stage;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+PipelineCall::PipelineCall(const Context& shared, ChatRequest accepted,
+                           TokenSink& tokens)
+    : context(shared),
+      request(std::move(accepted)),
+      sink(tokens),
+      deadline(shared.clock.Now() + this->request.deadline),
+      sequence(this->request.request_id, 0) {}
+
+Task<CallResult> PipelineCall::Run() {
+  if (auto refused = this->Enter()) {
+    co_return std::move(*refused);
+  }
+  CallResult result = co_await this->RunAttempts();
+  this->CloseStream();
+  this->context.admission.Settle(
+      this->request.class_name, this->request.workspace,
+      this->request.max_tokens,
+      static_cast<double>(this->sequence.tokens().size()));
+  co_return result;
+}
+
+std::optional<CallResult> PipelineCall::Enter() {
+  const auto view = this->context.blackboard.configuration.Read();
+  const auto& configuration = view->value.configuration;
+  if (!configuration) {
+    return this->Refuse({ErrorCode::kUnavailable, "chat.admit", "",
+                         "no configuration is in force yet"},
+                        SpreadRetryAfter(this->context.random));
+  }
+  const auto* request_class =
+      configuration->FindClass(this->request.class_name);
+  const auto* spec = request_class == nullptr
+                         ? nullptr
+                         : configuration->FindModel(request_class->model);
+  if (spec == nullptr) {
+    return this->Refuse({ErrorCode::kNotFound, "chat.admit", "",
+                         "no class of a model has this name"},
+                        std::nullopt);
+  }
+  if (this->request.max_tokens == 0) {
+    return this->Refuse({ErrorCode::kInvalidArgument, "chat.admit", "",
+                         "max_tokens must be at least 1"},
+                        std::nullopt);
+  }
+  this->model = *spec;
+  this->sequence = TokenSequence(this->request.request_id, spec->layers);
+  auto chosen = this->Choose(*configuration);
+  if (!chosen) {
+    return this->Refuse({ErrorCode::kUnavailable, "chat.route", "",
+                         "the routable engines do not cover all layers"},
+                        SpreadRetryAfter(this->context.random));
+  }
+  this->chain = std::move(*chosen);
+  const policy::AdmissionRequest ask{
+      this->request.class_name,
+      this->request.workspace,
+      static_cast<double>(this->request.max_tokens),
+      this->request.deadline,
+      this->chain.predicted_first_token,
+      this->chain.predicted_between_tokens};
+  const auto decision =
+      this->context.admission.Decide(ask, this->context.clock.Now());
+  if (!decision.admitted()) {
+    return this->Refuse({ErrorCode::kUnavailable, "chat.admit", "",
+                         std::string(policy::ToString(decision.reason))},
+                        decision.retry_after);
+  }
+  this->context.retries.OnFirstTry();
+  return std::nullopt;
+}
+
+Task<CallResult> PipelineCall::RunAttempts() {
+  for (;;) {
+    this->context.router.OnStarted(this->chain, this->context.clock.Now());
+    const AttemptEnd end = co_await this->RunAttempt();
+    this->context.router.OnFinished(this->chain, this->context.clock.Now());
+    if (end == AttemptEnd::kComplete) {
+      co_return CallResult{Outcome::kComplete, std::nullopt, std::nullopt};
+    }
+    if (end == AttemptEnd::kCallerGone) {
+      co_return this->EndForCaller();
+    }
+    auto next = this->ChooseNext();
+    if (!next) {
+      co_return this->GiveUp();
+    }
+    co_await this->ImportCache(*next);
+    this->CloseStream();
+    this->chain = std::move(*next);
+  }
+}
+
+Task<PipelineCall::AttemptEnd> PipelineCall::RunAttempt() {
+  const auto attempt = this->sequence.StartAttempt();
+  this->tokens_at_start = this->sequence.tokens().size();
+  const auto& first = this->chain.stages.front();
+  this->context.events.Record(EventId::kAttemptStarted,
+                              {{"request", this->request.request_id},
+                               {"attempt", std::to_string(attempt)},
+                               {"first_engine", first.engine}});
+  if (this->sink.disconnected()) {
+    co_return AttemptEnd::kCallerGone;
+  }
+  StreamRequest open = this->MakeStreamRequest();
+  const Duration bound = this->ProgressBound();
+  auto opened = co_await this->context.engines.Open(std::move(open), bound);
+  if (opened.has_error()) {
+    this->may_have_run =
+        this->may_have_run || !NeverStarted(opened.error().code);
+    co_return this->Fail(std::move(opened.error()));
+  }
+  this->may_have_run = true;
+  this->stream = std::move(opened.value());
+  if (attempt > 1 && this->tokens_at_start > 0) {
+    this->context.events.Record(
+        EventId::kStreamResumed,
+        {{"request", this->request.request_id},
+         {"attempt", std::to_string(attempt)},
+         {"position", std::to_string(this->tokens_at_start)}});
+  }
+  const auto executor = co_await asio::this_coro::executor;
+  DisconnectWatch watch(this->context.clock, executor, this->sink,
+                        [this] { this->stream->Cancel(); });
+  co_return co_await this->ReadStream();
+}
+
+Task<PipelineCall::AttemptEnd> PipelineCall::ReadStream() {
+  for (;;) {
+    const Duration bound = this->ProgressBound();
+    auto item = co_await this->stream->Next(bound);
+    if (this->sink.disconnected()) {
+      co_return AttemptEnd::kCallerGone;
+    }
+    if (this->AnswerIsWhole()) {
+      // Whatever ends the attempt now, all tokens asked for were delivered.
+      co_return AttemptEnd::kComplete;
+    }
+    if (item.has_error()) {
+      co_return this->Fail(std::move(item.error()));
+    }
+    if (auto* record = std::get_if<TokenRecord>(&item.value())) {
+      const AttemptEnd end = co_await this->TakeRecord(std::move(*record));
+      if (end != AttemptEnd::kComplete) {
+        co_return end;
+      }
+    } else if (auto end = this->TakeItemEnd(item.value())) {
+      co_return *end;
+    }
+  }
+}
+
+/// kComplete means that the stream goes on.
+Task<PipelineCall::AttemptEnd> PipelineCall::TakeRecord(TokenRecord record) {
+  const auto verdict = this->sequence.Take(record);
+  if (verdict == RecordVerdict::kGap ||
+      verdict == RecordVerdict::kWrongLayers) {
+    this->RecordDrop(verdict);
+    co_return this->Fail({ErrorCode::kProtocol, "stream.record",
+                          this->chain.stages.front().engine,
+                          std::string(ToString(verdict))});
+  }
+  if (verdict != RecordVerdict::kNext) {
+    this->RecordDrop(verdict);
+    co_return AttemptEnd::kComplete;
+  }
+  auto written = co_await this->sink.Write(record.token);
+  co_return written.has_error() ? AttemptEnd::kCallerGone
+                                : AttemptEnd::kComplete;
+}
+
+std::optional<PipelineCall::AttemptEnd> PipelineCall::TakeItemEnd(
+    const StreamItem& item) {
+  if (const auto* failed = std::get_if<StreamFailure>(&item)) {
+    if (!this->sequence.TakeEnd(failed->request, failed->attempt)) {
+      this->RecordDrop(RecordVerdict::kOtherAttempt);
+      return std::nullopt;
+    }
+    return this->Fail(failed->error);
+  }
+  const auto& finish = std::get<StreamFinish>(item);
+  if (!this->sequence.TakeEnd(finish.request, finish.attempt)) {
+    this->RecordDrop(RecordVerdict::kOtherAttempt);
+    return std::nullopt;
+  }
+  if (finish.reason == "length" && !this->AnswerIsWhole()) {
+    return this->Fail({ErrorCode::kProtocol, "stream.finish",
+                       this->chain.stages.front().engine,
+                       "finished for length before max_tokens"});
+  }
+  return AttemptEnd::kComplete;
+}
+
+std::optional<policy::Chain> PipelineCall::ChooseNext() {
+  const auto view = this->context.blackboard.configuration.Read();
+  if (!view->value.configuration) {
+    return std::nullopt;
+  }
+  auto next = this->Choose(*view->value.configuration);
+  if (!next || this->Remaining() <= next->predicted_first_token) {
+    return std::nullopt;
+  }
+  if (!this->context.retries.TryTake()) {
+    return std::nullopt;
+  }
+  return next;
+}
+
+Task<void> PipelineCall::ImportCache(const policy::Chain& next) {
+  if (this->sequence.tokens().empty()) {
+    co_return;
+  }
+  const auto limit =
+      this->context.clock.Now() + std::min(kTransferBound, this->Remaining());
+  for (const auto& stage : next.stages) {
+    const auto* source = FindLayers(this->chain, stage);
+    if (source == nullptr || source->engine == stage.engine) {
+      continue;
+    }
+    const bool failed = source->engine == this->FailedEngine(this->failure);
+    const auto left = limit - this->context.clock.Now();
+    if ((failed && !StillAnswers(this->failure.code)) || left <= Duration(0)) {
+      continue;
+    }
+    RouteStage from = ToRouteStage(*source);
+    RouteStage to = ToRouteStage(stage);
+    // Without the import, the replacement rebuilds its cache from the tokens.
+    std::ignore = co_await this->context.engines.TransferKv(
+        this->request.request_id, std::move(from), std::move(to), left);
+  }
+}
+
+std::optional<policy::Chain> PipelineCall::Choose(
+    const Configuration& configuration) {
+  const auto backends = this->context.blackboard.backends.Read();
+  const auto* spec = configuration.FindModel(this->model.name);
+  // A change of the layer count would make earlier tokens another model's.
+  if (spec == nullptr || spec->layers != this->model.layers) {
+    return std::nullopt;
+  }
+  const auto left = this->request.max_tokens - this->sequence.tokens().size();
+  const std::string_view prompt = this->request.prompt;
+  policy::ChainQuery query;
+  query.model = spec;
+  query.prefix_hash =
+      prompt.empty() ? 0 : Hash64(prompt.substr(0, kPrefixLength));
+  query.expected_tokens = static_cast<double>(left);
+  query.excluded = this->excluded;
+  auto chosen = this->context.router.Choose(backends->value, query,
+                                            this->context.clock.Now());
+  if (chosen && chosen->stages.empty()) {
+    return std::nullopt;
+  }
+  return chosen;
+}
+
+StreamRequest PipelineCall::MakeStreamRequest() const {
+  StreamRequest open;
+  open.request = this->request.request_id;
+  open.attempt = this->sequence.current_attempt();
+  open.model = this->model.name;
+  open.prompt = this->request.prompt;
+  open.tokens = this->sequence.tokens();
+  open.max_tokens = this->request.max_tokens;
+  // A resumed answer goes before new ones, so that it resumes within 1 s.
+  open.priority = open.attempt > 1 ? 1 : 0;
+  open.deadline = this->Remaining();
+  for (const auto& stage : this->chain.stages) {
+    open.route.push_back(ToRouteStage(stage));
+  }
+  return open;
+}
+
+Duration PipelineCall::ProgressBound() const {
+  const bool started = this->sequence.tokens().size() > this->tokens_at_start;
+  const Duration bound =
+      started ? std::max(kNextTokenFloor,
+                         kProgressFactor * this->chain.predicted_between_tokens)
+              : std::max(kFirstTokenFloor,
+                         kProgressFactor * this->chain.predicted_first_token);
+  return std::min(bound, this->Remaining());
+}
+
+Duration PipelineCall::Remaining() const {
+  return std::max(Duration(0), this->deadline - this->context.clock.Now());
+}
+
+bool PipelineCall::AnswerIsWhole() const {
+  return this->sequence.tokens().size() >= this->request.max_tokens;
+}
+
+PipelineCall::AttemptEnd PipelineCall::Fail(Error error) {
+  this->failure = std::move(error);
+  this->excluded.push_back(this->FailedEngine(this->failure));
+  this->context.events.Record(
+      EventId::kAttemptFailed,
+      {{"request", this->request.request_id},
+       {"attempt", std::to_string(this->sequence.current_attempt())},
+       {"engine", this->excluded.back()},
+       {"error", ToString(this->failure)}});
+  return AttemptEnd::kFailed;
+}
+
+std::string PipelineCall::FailedEngine(const Error& error) const {
+  const auto* named = FindEngine(this->chain, error.peer);
+  return named == nullptr ? this->chain.stages.front().engine : named->engine;
+}
+
+CallResult PipelineCall::Refuse(Error error,
+                                std::optional<Duration> retry_after) {
+  return {Outcome::kNotRun, std::move(error), retry_after};
+}
+
+CallResult PipelineCall::GiveUp() {
+  const auto outcome =
+      this->may_have_run ? Outcome::kUnknown : Outcome::kNotRun;
+  return {outcome, this->failure, SpreadRetryAfter(this->context.random)};
+}
+
+CallResult PipelineCall::EndForCaller() {
+  const auto outcome =
+      this->may_have_run ? Outcome::kUnknown : Outcome::kNotRun;
+  return {outcome,
+          Error{ErrorCode::kCancelled, "chat.deliver", "",
+                "the caller closed its connection"},
+          std::nullopt};
+}
+
+void PipelineCall::RecordDrop(RecordVerdict verdict) {
+  this->context.events.Record(
+      EventId::kLateRecordDropped,
+      {{"request", this->request.request_id},
+       {"attempt", std::to_string(this->sequence.current_attempt())},
+       {"reason", std::string(ToString(verdict))}});
+}
+
+void PipelineCall::CloseStream() {
+  if (this->stream) {
+    this->stream->Cancel();
+    this->stream.reset();
+  }
+}
+
+}  // namespace qp
--- /dev/null
+++ b/packages/calls/src/calls/pipeline_call.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "blackboard/blackboard.h"
+#include "calls/chat_service.h"
+#include "calls/engine_client.h"
+#include "calls/token_sequence.h"
+#include "foundation/event.h"
+#include "policy/admission.h"
+#include "policy/chain_router.h"
+#include "policy/retry_budget.h"
+
+namespace qp {
+
+/// One question from admission to its outcome. Opens attempt n+1 after the
+/// failure of attempt n, with the tokens that were already used.
+class PipelineCall {
+ public:
+  struct Context {
+    Clock& clock;
+    const Blackboard& blackboard;
+    EngineClient& engines;
+    policy::Admission& admission;
+    policy::ChainRouter& router;
+    policy::RetryBudget& retries;
+    EventSink& events;
+    std::mt19937_64& random;
+  };
+
+  /// Silence on a stream counts as failure after this multiple of the
+  /// predicted time, and not before the floors below.
+  static constexpr int kProgressFactor = 4;
+  /// Covers a full batch ahead of the prompt.
+  static constexpr Duration kFirstTokenFloor = std::chrono::milliseconds(600);
+  /// Leaves 600 ms of the 1 s target for resumption to the next attempt.
+  static constexpr Duration kNextTokenFloor = std::chrono::milliseconds(400);
+  /// Over all stages of one resumption; beyond it, engines rebuild the cache.
+  static constexpr Duration kTransferBound = std::chrono::milliseconds(250);
+  /// Characters of the prompt that identify its prefix for the router.
+  static constexpr std::size_t kPrefixLength = 256;
+
+  PipelineCall(const Context& context, ChatRequest request, TokenSink& sink);
+
+  Task<CallResult> Run();
+
+  std::uint64_t dropped_records() const { return this->sequence.dropped(); }
+
+ private:
+  enum class AttemptEnd { kComplete, kFailed, kCallerGone };
+
+  std::optional<CallResult> Enter();
+  Task<CallResult> RunAttempts();
+  Task<AttemptEnd> RunAttempt();
+  Task<AttemptEnd> ReadStream();
+  Task<AttemptEnd> TakeRecord(TokenRecord record);
+  std::optional<AttemptEnd> TakeItemEnd(const StreamItem& item);
+  std::optional<policy::Chain> ChooseNext();
+  Task<void> ImportCache(const policy::Chain& next);
+
+  std::optional<policy::Chain> Choose(const Configuration& configuration);
+  StreamRequest MakeStreamRequest() const;
+  Duration ProgressBound() const;
+  Duration Remaining() const;
+  bool AnswerIsWhole() const;
+  AttemptEnd Fail(Error error);
+  std::string FailedEngine(const Error& error) const;
+  CallResult Refuse(Error error, std::optional<Duration> retry_after);
+  CallResult GiveUp();
+  CallResult EndForCaller();
+  void RecordDrop(RecordVerdict verdict);
+  void CloseStream();
+
+  Context context;
+  ChatRequest request;
+  TokenSink& sink;
+  TimePoint deadline;
+  TokenSequence sequence;
+  ModelSpec model;
+  policy::Chain chain;
+  std::unique_ptr<TokenStream> stream;
+  std::vector<std::string> excluded;
+  Error failure;
+  std::size_t tokens_at_start = 0;  ///< Of the current attempt.
+  bool may_have_run = false;
+};
+
+}  // namespace qp
--- /dev/null
+++ b/packages/calls/src/calls/pipeline_chat_service.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+
+#include "calls/chat_service.h"
+#include "calls/pipeline_call.h"
+
+namespace qp {
+
+/// Serves questions over chains of engines chosen from the blackboard. All
+/// members are used on the request thread only.
+class PipelineChatService final : public ChatService {
+ public:
+  /// `seed` spreads the times after which refused callers return.
+  PipelineChatService(Clock& clock, const Blackboard& blackboard,
+                      EngineClient& engines, policy::Admission& admission,
+                      policy::ChainRouter& router, policy::RetryBudget& retries,
+                      EventSink& events, std::uint64_t seed);
+
+  Task<CallResult> Run(ChatRequest request, TokenSink& sink) override;
+
+  /// Token records that were not used, over all requests.
+  std::uint64_t dropped_records() const { return this->dropped; }
+
+ private:
+  std::mt19937_64 random;
+  std::uint64_t dropped = 0;
+  PipelineCall::Context context;
+};
+
+}  // namespace qp
--- /dev/null
+++ b/packages/platform/src/platform/grouped_table.cc
@@ -0,0 +1,129 @@
+#include "platform/grouped_table.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "foundation/asio.h"
+
+namespace qp {
+
+/// Operations that go to the table in one write, and the event of its end.
+struct GroupedTable::Group {
+  explicit Group(const asio::any_io_executor& executor) : ended(executor) {
+    this->ended.expires_at(asio::steady_timer::time_point::max());
+  }
+
+  bool HasKeyOf(const std::vector<TableOperation>& others) const {
+    for (const auto& other : others) {
+      for (const auto& own : this->operations) {
+        if (own.key == other.key) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
+  std::vector<TableOperation> operations;
+  std::optional<Result<std::vector<OperationResult>>> result;
+  asio::steady_timer ended;  ///< Cancelled when `result` is set.
+  TimerId timer = 0;
+};
+
+struct GroupedTable::State : std::enable_shared_from_this<State> {
+  State(Clock& time, Table& table) : clock(time), inner(table) {}
+
+  void Flush(const asio::any_io_executor& executor) {
+    auto group = std::exchange(this->open, nullptr);
+    if (!group) {
+      return;
+    }
+    this->clock.Cancel(group->timer);
+    asio::co_spawn(executor, Write(this->shared_from_this(), group),
+                   asio::detached);
+  }
+
+  void Open(const asio::any_io_executor& executor) {
+    auto group = std::make_shared<Group>(executor);
+    this->open = group;
+    std::weak_ptr<State> weak = this->weak_from_this();
+    auto flush = [weak, group, executor] {
+      const auto self = weak.lock();
+      if (self && self->open == group) {
+        self->Flush(executor);
+      }
+    };
+    group->timer = this->clock.Schedule(
+        this->clock.Now() + kMaxWait,
+        [executor, flush = std::move(flush)] { asio::post(executor, flush); });
+  }
+
+  static Task<void> Write(std::shared_ptr<State> self,
+                          std::shared_ptr<Group> group) {
+    const std::size_t count = group->operations.size();
+    auto result = co_await self->inner.Transact(TransactMode::kEach,
+                                                std::move(group->operations));
+    if (result.has_value() && result.value().size() != count) {
+      result = Error{ErrorCode::kUnknownEffect, "table.transact", "",
+                     "the table answered another number of results"};
+    }
+    group->result = std::move(result);
+    group->ended.cancel();
+  }
+
+  Clock& clock;
+  Table& inner;
+  std::shared_ptr<Group> open;
+};
+
+GroupedTable::GroupedTable(Clock& clock, Table& inner)
+    : state(std::make_shared<State>(clock, inner)) {}
+
+GroupedTable::~GroupedTable() = default;
+
+Task<Result<std::optional<TableItem>>> GroupedTable::Read(std::string key) {
+  return this->state->inner.Read(std::move(key));
+}
+
+Task<Result<std::vector<TableItem>>> GroupedTable::Scan(std::string prefix) {
+  return this->state->inner.Scan(std::move(prefix));
+}
+
+Task<Result<std::vector<OperationResult>>> GroupedTable::Transact(
+    TransactMode mode, std::vector<TableOperation> operations) {
+  const auto self = this->state;
+  const std::size_t count = operations.size();
+  if (mode != TransactMode::kEach || count == 0 || count > kMaxOperations) {
+    co_return co_await self->inner.Transact(mode, std::move(operations));
+  }
+  const auto executor = co_await asio::this_coro::executor;
+  // Two operations of one write on the same item have no defined order.
+  if (self->open && (self->open->operations.size() + count > kMaxOperations ||
+                     self->open->HasKeyOf(operations))) {
+    self->Flush(executor);
+  }
+  if (!self->open) {
+    self->Open(executor);
+  }
+  const auto group = self->open;
+  const auto first = static_cast<std::ptrdiff_t>(group->operations.size());
+  std::move(operations.begin(), operations.end(),
+            std::back_inserter(group->operations));
+  if (group->operations.size() >= kMaxOperations) {
+    self->Flush(executor);
+  }
+  while (!group->result) {
+    boost::system::error_code ignored;
+    co_await group->ended.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  if (group->result->has_error()) {
+    co_return group->result->error();
+  }
+  const auto begin = group->result->value().begin() + first;
+  co_return std::vector<OperationResult>(
+      begin, begin + static_cast<std::ptrdiff_t>(count));
+}
+
+}  // namespace qp
