--- a/cmake/QpPackage.cmake
+++ b/cmake/QpPackage.cmake
@@ -1,6 +1,9 @@
 # Options that every target of the workspace is built with.
 add_library(qp_options INTERFACE)
-target_compile_options(qp_options INTERFACE -Wall -Wextra -Werror -Wno-psabi)
+# GCC 12 inlines the operator new of Asio's coroutine frames but not their
+# operator delete, and then reports the pair as mismatched.
+target_compile_options(qp_options INTERFACE -Wall -Wextra -Werror -Wno-psabi
+  $<$<CXX_COMPILER_ID:GNU>:-Wno-mismatched-new-delete>)
 target_compile_definitions(qp_options INTERFACE BOOST_ASIO_NO_DEPRECATED CATCH_CONFIG_FAST_COMPILE)
 target_link_libraries(qp_options INTERFACE Threads::Threads nlohmann_json::nlohmann_json)
 
--- a/packages/gateway/src/gateway/http_service_client.cc
+++ b/packages/gateway/src/gateway/http_service_client.cc
@@ -28,12 +28,13 @@
                                       : http::Connection::kFresh;
 }
 
-/// Only kUnavailable promises that nothing was sent; every other failure of
-/// the exchange may have come after the write.
+/// A server that was not reached and an address that is not one were sent
+/// nothing; every other failure may have come after the write.
 Error FromExchange(const Error& error, const std::string& address) {
-  const ErrorCode code = error.code == ErrorCode::kUnavailable
-                             ? ErrorCode::kUnavailable
-                             : ErrorCode::kUnknownEffect;
+  const bool nothing_sent = error.code == ErrorCode::kUnavailable ||
+                            error.code == ErrorCode::kInvalidArgument;
+  const ErrorCode code =
+      nothing_sent ? ErrorCode::kUnavailable : ErrorCode::kUnknownEffect;
   return {code, kStep, address, error.detail};
 }
 
