--- a/packages/standins/src/standins/engine_standin.cc
+++ b/packages/standins/src/standins/engine_standin.cc
@@ -1,6 +1,7 @@
 #include "standins/engine_standin.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "standins/layer_digest.h"
 
@@ -100,7 +101,7 @@
     auto order = nlohmann::json::parse(request.body());
     response = co_await this->ServeOrder(std::move(order));
   }
-  co_await responder.Send(std::move(response));
+  co_await Answer(responder, std::move(response));
 }
 
 nlohmann::json EngineStandin::Status() const {
@@ -127,7 +128,7 @@
   const auto checked = this->CheckStream(order);
   if (!checked) {
     auto refusal = FailureResponse(checked.error());
-    co_await responder.Send(std::move(refusal));
+    co_await Answer(responder, std::move(refusal));
     co_return;
   }
   auto head = http::MakeResponse(http::Status::ok, "");
@@ -139,8 +140,9 @@
   const auto end = co_await this->Drive(order, responder);
   this->ReleaseSlot();
   const std::string line = EndLine(order, end);
-  co_await responder.Write(line);
-  co_await responder.End();
+  if (co_await responder.Write(line)) {
+    std::ignore = co_await responder.End();
+  }
 }
 
 StepResult<void> EngineStandin::CheckStream(const StreamOrder& order) {
@@ -243,7 +245,7 @@
   const auto output = co_await this->RunStep(std::move(step));
   auto response = output ? JsonResponse(nlohmann::json(output.value()))
                          : FailureResponse(output.error());
-  co_await responder.Send(std::move(response));
+  co_await Answer(responder, std::move(response));
 }
 
 Task<StepResult<StepOutput>> EngineStandin::RunStep(Step step) {
--- a/packages/standins/src/standins/layer_digest.cc
+++ b/packages/standins/src/standins/layer_digest.cc
@@ -9,9 +9,9 @@
 namespace {
 
 constexpr std::size_t kTokenDigits = 8;
+constexpr std::string_view kDigits = "0123456789abcdef";
 
 std::string ToHex(const unsigned char* bytes, std::size_t count) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
   std::string text;
   text.reserve(2 * count);
   for (std::size_t index = 0; index < count; ++index) {
--- a/packages/standins/src/standins/object_store_standin.cc
+++ b/packages/standins/src/standins/object_store_standin.cc
@@ -32,7 +32,7 @@
       }
     }
   }
-  co_await responder.Send(std::move(response));
+  co_await Answer(responder, std::move(response));
 }
 
 nlohmann::json ObjectStoreStandin::Record(std::size_t) const {
--- a/packages/standins/src/standins/service_standin.cc
+++ b/packages/standins/src/standins/service_standin.cc
@@ -29,7 +29,7 @@
     response = JsonResponse(this->Execute(request));
     this->ChangeRunning(-1);
   }
-  co_await responder.Send(std::move(response));
+  co_await Answer(responder, std::move(response));
 }
 
 nlohmann::json ServiceStandin::Status() const {
--- a/packages/standins/src/standins/standin.cc
+++ b/packages/standins/src/standins/standin.cc
@@ -1,6 +1,7 @@
 #include "standins/standin.h"
 
 #include <charconv>
+#include <tuple>
 
 #include "foundation/wait.h"
 
@@ -78,6 +79,10 @@
   return http::MakeResponse(http::Status::ok, body.dump());
 }
 
+Task<void> Answer(http::Responder& responder, http::Response response) {
+  std::ignore = co_await responder.Send(std::move(response));
+}
+
 std::string PathAfter(const http::Request& request, std::string_view prefix) {
   return PercentDecoded(http::PathOf(request).substr(prefix.size()));
 }
@@ -128,7 +133,7 @@
   if (!mistake.empty()) {
     auto response =
         ErrorResponse(http::Status::bad_request, "invalid_argument", mistake);
-    co_await responder.Send(std::move(response));
+    co_await Answer(responder, std::move(response));
   }
 }
 
@@ -144,7 +149,7 @@
   } else if (path == "/v1/standin/record") {
     response = JsonResponse(this->Record(SinceOf(request)));
   }
-  co_await responder.Send(std::move(response));
+  co_await Answer(responder, std::move(response));
 }
 
 http::Response Standin::ChangeSwitches(const http::Request& request) {
--- a/packages/standins/src/standins/standin.h
+++ b/packages/standins/src/standins/standin.h
@@ -21,6 +21,10 @@
 
 http::Response JsonResponse(const nlohmann::json& body);
 
+/// Sends a whole answer. A client that is gone needs none, so that errors are
+/// ignored.
+Task<void> Answer(http::Responder& responder, http::Response response);
+
 /// Rest of a target's path after `prefix`, percent-decoded.
 std::string PathAfter(const http::Request& request, std::string_view prefix);
 
--- a/packages/standins/src/standins/table_standin.cc
+++ b/packages/standins/src/standins/table_standin.cc
@@ -49,7 +49,7 @@
   } else if (get && path.starts_with(std::string(kItemsPath) + "/")) {
     response = this->Read(PathAfter(request, std::string(kItemsPath) + "/"));
   }
-  co_await responder.Send(std::move(response));
+  co_await Answer(responder, std::move(response));
 }
 
 http::Response TableStandin::Transact(const nlohmann::json& body) {
--- a/packages/standins/src/standins/vm_list_standin.cc
+++ b/packages/standins/src/standins/vm_list_standin.cc
@@ -7,8 +7,8 @@
 constexpr std::size_t kMaxVersions = 1024;
 
 const nlohmann::json& EmptyList() {
-  static const nlohmann::json empty = nlohmann::json::array();
-  return empty;
+  static const nlohmann::json kEmpty = nlohmann::json::array();
+  return kEmpty;
 }
 
 }  // namespace
@@ -33,7 +33,7 @@
       response = JsonResponse(this->Visible());
     }
   }
-  co_await responder.Send(std::move(response));
+  co_await Answer(responder, std::move(response));
 }
 
 const nlohmann::json& VmListStandin::Visible() const {
