--- a/packages/policy/src/policy/placement_policy.cc
+++ b/packages/policy/src/policy/placement_policy.cc
@@ -233,6 +233,7 @@
     by_key[key(input.engines[engine])].push_back(engine);
   }
   std::vector<Engines> clusters;
+  clusters.reserve(by_key.size());
   for (auto& [name, members] : by_key) {
     clusters.push_back(std::move(members));
   }
