Leave links out of the flow that use up the time between tokens

At 95% load 20% of requests missed their targets: a quarter of the chains crossed regions, whose links take 60 ms there and back of the 66 ms between tokens. Evening out a plan takes 6 flows instead of 350, and admission sums levels as they change.

--- a/packages/apps/quetzalpost_bench/decisions.cc
+++ b/packages/apps/quetzalpost_bench/decisions.cc
@@ -62,19 +62,19 @@
 }  // namespace
 
 FairnessResult MeasureFairness(std::uint64_t seed) {
-  constexpr double seconds = 300;
-  constexpr double fair = kRequestsPerSecond / 2;
+  constexpr double kSeconds = 300;
+  constexpr double kFair = kRequestsPerSecond / 2;
   policy::Admission admission(seed);
   BudgetsView budgets;
   budgets.shares["class"] = {kRequestsPerSecond, 0};
   admission.Update(OneClass(kRequestsPerSecond), budgets, TimePoint{});
   std::mt19937_64 generator(seed);
-  std::exponential_distribution<double> gap(51 * fair);
+  std::exponential_distribution<double> gap(51 * kFair);
   std::uniform_int_distribution<int> asker(0, 50);
   double small = 0;
   double large = 0;
   double small_asked = 0;
-  for (double at = gap(generator); at < seconds; at += gap(generator)) {
+  for (double at = gap(generator); at < kSeconds; at += gap(generator)) {
     const bool is_small = asker(generator) == 0;
     policy::AdmissionRequest request;
     request.class_name = "class";
@@ -85,8 +85,9 @@
     small_asked += is_small ? 1 : 0;
     (is_small ? small : large) += admitted ? 1 : 0;
   }
-  const double fair_share = std::min(small_asked, fair * seconds);
-  return {small / fair_share, (small + large) / (kRequestsPerSecond * seconds)};
+  const double fair_share = std::min(small_asked, kFair * kSeconds);
+  return {small / fair_share,
+          (small + large) / (kRequestsPerSecond * kSeconds)};
 }
 
 std::vector<DecisionTime> MeasureDecisionTimes(std::uint64_t seed) {
@@ -114,6 +115,7 @@
   times.push_back(Measure("route", kCalls, route));
   query.prefixes = &prefixes;
   times.push_back(Measure("route_with_prefix", kCalls, route));
+  const policy::LinkMap links;
   std::vector<std::size_t> usable;
   for (std::size_t i = 0; i < kEngines; ++i) {
     if (!fleet.view.backends[i].model.empty()) {
@@ -121,8 +123,8 @@
     }
   }
   times.push_back(Measure("plan_of_flow", kSlowCalls, [&](int) {
-    policy::PlanPipeline(fleet.view.backends, usable, fleet.model(),
-                         fleet.kinds, {});
+    policy::PlanPipeline(fleet.view.backends, usable,
+                         {fleet.model(), fleet.kinds, links});
   }));
   times.push_back(Measure("placement", kSlowCalls,
                           [&](int) { placement.Assign(fleet.Input()); }));
--- a/packages/apps/quetzalpost_bench/fleet.cc
+++ b/packages/apps/quetzalpost_bench/fleet.cc
@@ -5,13 +5,13 @@
 #include <cmath>
 #include <string>
 
+#include "policy/pipeline_plan.h"
+
 namespace qp::bench {
 
 namespace {
 
 constexpr std::uint64_t kGigabyte = 1000000000;
-/// Target between tokens, seconds.
-constexpr double kBetweenTokens = 0.066;
 
 struct Site {
   const char* kind;
@@ -42,7 +42,7 @@
                  {"b", 48 * kGigabyte, 30000},
                  {"c", 24 * kGigabyte, 12000},
                  {"d", 16 * kGigabyte, 4000}};
-  fleet.demands = {{"model", 1e6}};
+  fleet.demands = {{"model", 1e6, kBetweenTokens}};
   for (std::size_t i = 0; i < size; ++i) {
     const Site& site = kSites[i % kSites.size()];
     Backend engine;
@@ -70,9 +70,22 @@
     const double tokens_per_second = kind->layer_tokens_per_second /
                                      (item.last_layer - item.first_layer + 1);
     engine->slots = static_cast<std::uint32_t>(
-        std::ceil(tokens_per_second * kBetweenTokens));
+        std::ceil(tokens_per_second *
+                  std::chrono::duration<double>(kBetweenTokens).count()));
   }
   return policy::FlowBound(fleet.Input(), fleet.model(), assignments);
 }
 
+double BoundAtAnyLatency(const Fleet& fleet) {
+  std::vector<std::size_t> usable;
+  for (std::size_t i = 0; i < fleet.view.backends.size(); ++i) {
+    if (!fleet.view.backends[i].model.empty()) {
+      usable.push_back(i);
+    }
+  }
+  const policy::LinkMap links;
+  return policy::PipelineBound(fleet.view.backends, usable,
+                               {fleet.model(), fleet.kinds, links});
+}
+
 }  // namespace qp::bench
--- a/packages/apps/quetzalpost_bench/fleet.h
+++ b/packages/apps/quetzalpost_bench/fleet.h
@@ -9,6 +9,10 @@
 
 namespace qp::bench {
 
+/// Targets of the model's class.
+inline constexpr Duration kFirstToken = std::chrono::milliseconds(320);
+inline constexpr Duration kBetweenTokens = std::chrono::milliseconds(66);
+
 /// Engines of four kinds over three availability zones in two regions, whose
 /// links differ by a factor of 100 (LinkMap's assumed links), and one model.
 struct Fleet {
@@ -29,4 +33,7 @@
 /// tokens per second.
 double Place(Fleet& fleet, const policy::PlacementPolicy& policy);
 
+/// Flow bound of the placed engines over all links, tokens per second.
+double BoundAtAnyLatency(const Fleet& fleet);
+
 }  // namespace qp::bench
--- a/packages/apps/quetzalpost_bench/main.cc
+++ b/packages/apps/quetzalpost_bench/main.cc
@@ -43,8 +43,12 @@
       qp::bench::Place(fleet, qp::policy::FlowGuidedPlacement());
   Print("flow bound", "even_split", even, "tokens/s");
   Print("flow bound", "flow_guided", bound, "tokens/s");
+  // The bounds above leave out links too slow for the time between tokens.
+  const double any_latency = qp::bench::BoundAtAnyLatency(fleet);
+  Print("flow bound at any latency", "flow_guided", any_latency, "tokens/s");
   nlohmann::json report{{"even_split_bound_tokens_per_second", even},
-                        {"bound_tokens_per_second", bound}};
+                        {"bound_tokens_per_second", bound},
+                        {"bound_at_any_latency", any_latency}};
   for (const auto name : qp::bench::PolicyNames()) {
     const std::string policy(name);
     const auto overload = RunWith(fleet, name, kOverload * bound, bound, seed);
--- a/packages/apps/quetzalpost_bench/pipeline_run.cc
+++ b/packages/apps/quetzalpost_bench/pipeline_run.cc
@@ -17,10 +17,8 @@
 namespace {
 
 constexpr double kMeanTokens = 100;
-constexpr double kFirstTokenTarget = 0.32;      // seconds
-constexpr double kBetweenTokensTarget = 0.066;  // seconds
-constexpr double kReportInterval = 0.5;         // seconds
-constexpr double kPatience = 2;                 // seconds
+constexpr double kReportInterval = 0.5;  // seconds
+constexpr double kPatience = 2;          // seconds
 
 TimePoint At(double seconds) {
   return TimePoint{} + std::chrono::duration_cast<Duration>(
@@ -164,6 +162,7 @@
     query.model = &this->fleet.model();
     query.expected_tokens = kMeanTokens;
     query.kinds = this->fleet.kinds;
+    query.between_tokens = kBetweenTokens;
     auto& routing = *this->routing[stream.daemon];
     auto chain = routing.Choose(this->view, query, At(this->now));
     if (!chain) {
@@ -287,10 +286,14 @@
     result.abandoned = this->abandoned;
     result.first_token_p95 = Percentile(this->first_tokens, 0.95);
     result.between_tokens_p95 = Percentile(this->between_tokens, 0.95);
+    const double first_target =
+        std::chrono::duration<double>(kFirstToken).count();
+    const double between_target =
+        std::chrono::duration<double>(kBetweenTokens).count();
     double within = 0;
     for (std::size_t i = 0; i < this->first_tokens.size(); ++i) {
-      within += this->first_tokens[i] <= kFirstTokenTarget &&
-                        this->between_tokens[i] <= kBetweenTokensTarget
+      within += this->first_tokens[i] <= first_target &&
+                        this->between_tokens[i] <= between_target
                     ? 1
                     : 0;
     }
--- a/packages/policy/src/policy/admission.cc
+++ b/packages/policy/src/policy/admission.cc
@@ -28,7 +28,7 @@
 /// A class with fewer refusals of late than this asks for no more.
 constexpr double kShortRefusals = 0.5;
 /// Credits are given out at most this often; the cost grows with workspaces.
-constexpr Seconds kRefillInterval{0.002};
+constexpr Seconds kRefillInterval{0.01};
 constexpr std::size_t kDimensions = 2;
 
 /// Requests and tokens, in that order.
@@ -145,6 +145,7 @@
       const double common = std::min(cost[d] - own, this->spare[d]);
       this->spare[d] -= common;
       workspace.level[d] -= cost[d] - common;
+      this->held[d] -= cost[d] - common;
     }
   }
 
@@ -155,13 +156,16 @@
       this->Return(1, tokens);
     } else {
       found->second.level[1] += tokens;
+      this->held[1] += tokens;
     }
   }
 
   /// Takes what other classes leave unused.
   void AddSurplus(const Amounts& surplus) {
     for (std::size_t d = 0; d < kDimensions; ++d) {
-      this->Distribute(d, surplus[d]);
+      if (surplus[d] > 0) {
+        this->Distribute(d, surplus[d]);
+      }
     }
   }
 
@@ -181,11 +185,7 @@
   /// Whether other workspaces hold enough for `cost`.
   bool OthersCover(const Amounts& cost) const {
     for (std::size_t d = 0; d < kDimensions; ++d) {
-      double total = this->spare[d];
-      for (const auto& [name, workspace] : this->workspaces) {
-        total += workspace.level[d];
-      }
-      if (this->limited[d] && total < cost[d]) {
+      if (this->limited[d] && this->spare[d] + this->held[d] < cost[d]) {
         return false;
       }
     }
@@ -246,6 +246,7 @@
     const double lent =
         std::clamp(this->ClassCap(d) - this->debt[d], 0.0, wanted);
     newcomer.level[d] = lent;
+    this->held[d] += lent;
     this->debt[d] += lent;
   }
 
@@ -279,6 +280,7 @@
     amount -= repaid;
 
     std::vector<double*> open;
+    open.reserve(this->workspaces.size());
     for (auto& [name, workspace] : this->workspaces) {
       open.push_back(&workspace.level[d]);
     }
@@ -290,6 +292,7 @@
       const double part = amount / static_cast<double>(open.size() - i);
       const double taken = std::clamp(cap - *open[i], 0.0, part);
       *open[i] += taken;
+      this->held[d] += taken;
       amount -= taken;
     }
     const double room = std::max(this->ClassCap(d) - this->spare[d], 0.0);
@@ -301,6 +304,7 @@
   Amounts rate{};
   std::array<bool, kDimensions> limited{};
   Amounts spare{};
+  Amounts held{};  ///< Sum of the workspaces' levels.
   /// Amounts lent to newcomers; repaid before anything is distributed.
   Amounts debt{};
   bool started = false;
--- a/packages/policy/src/policy/chain_router.cc
+++ b/packages/policy/src/policy/chain_router.cc
@@ -127,15 +127,21 @@
   PipelinePlan plan;
   std::vector<FairDraw> hops;
   std::vector<FairDraw> members;
+  std::vector<double> inflows;  ///< By group, tokens per second.
 
   PlannedDraws(PipelinePlan planned, std::mt19937_64& generator)
-      : plan(std::move(planned)) {
+      : plan(std::move(planned)), inflows(this->plan.groups.size()) {
     this->hops.emplace_back(this->plan.entries.size(), generator);
     for (std::size_t i = 0; i < this->plan.groups.size(); ++i) {
       this->hops.emplace_back(this->plan.next[i].size(), generator);
       this->members.emplace_back(this->plan.groups[i].members.size(),
                                  generator);
     }
+    for (std::size_t node = 0; node <= this->plan.groups.size(); ++node) {
+      for (const auto& hop : this->HopsOf(node)) {
+        this->inflows[hop.group] += hop.tokens_per_second;
+      }
+    }
   }
 
   const std::vector<GroupHop>& HopsOf(std::size_t node) const {
@@ -242,7 +248,6 @@
     std::vector<double> streams;  ///< By member.
     std::vector<double> shares;   ///< Of the group's coming streams.
     double total = 0;             ///< Streams of all members.
-    double inflow = 0;            ///< Planned tokens a second.
     Seconds stream_time{};
 
     /// Streams that end, and are replaced, before the next report is seen.
@@ -289,29 +294,31 @@
     }
     load.emplace();
     const EngineGroup& engines = this->plan.groups[group];
+    std::vector<LoadEstimate::Snapshot> snapshots;
+    snapshots.reserve(engines.members.size());
     double others = 0;
     double slots = 0;
     for (std::size_t i = 0; i < engines.members.size(); ++i) {
-      others += this->loads.Others(this->Member(group, i));
-      slots += std::max<std::uint32_t>(this->Member(group, i).slots, 1);
+      const Backend& engine = this->Member(group, i);
+      snapshots.push_back(this->loads.At(engine));
+      others += snapshots.back().others;
+      slots += std::max<std::uint32_t>(engine.slots, 1);
     }
     load->stream_time = this->StreamTime(engines, slots);
     const LoadEstimate::Drift drift{others / slots, load->stream_time};
     std::vector<double> capacities;
-    for (std::size_t i = 0; i < engines.members.size(); ++i) {
+    capacities.reserve(snapshots.size());
+    load->streams.reserve(snapshots.size());
+    for (std::size_t i = 0; i < snapshots.size(); ++i) {
       const Backend& engine = this->Member(group, i);
-      load->streams.push_back(this->loads.Streams(engine, drift, this->now));
+      load->streams.push_back(
+          LoadEstimate::Streams(engine, snapshots[i], drift, this->now));
       load->total += load->streams.back();
       capacities.push_back(std::max<std::uint32_t>(engine.slots, 1) /
                            this->factor_of(engine.name));
     }
     load->shares = SharesOfArrivals(load->streams, capacities,
                                     load->Arrivals(load->total));
-    for (std::size_t node = 0; node <= this->plan.groups.size(); ++node) {
-      for (const auto& hop : this->draws.HopsOf(node)) {
-        load->inflow += hop.group == group ? hop.tokens_per_second : 0;
-      }
-    }
     return *load;
   }
 
@@ -330,9 +337,9 @@
     for (const auto& hop : hops) {
       const GroupLoad& load = this->Load(hop.group);
       streams.push_back(load.total);
-      inflows.push_back(load.inflow);
+      inflows.push_back(this->draws.inflows[hop.group]);
       total += load.total;
-      inflow += load.inflow;
+      inflow += inflows.back();
     }
     const auto balanced = SharesOfArrivals(
         streams, inflows, this->Load(hops.front().group).Arrivals(total));
@@ -484,6 +491,7 @@
   std::vector<std::size_t> usable;
   std::uint64_t key = Hash64(query.model->name, query.model->layers);
   key = Mix(key, query.model->activation_bytes);
+  key = Mix(key, query.between_tokens.count());
   for (const auto& kind : query.kinds) {
     key = Mix(Mix(key, Hash64(kind.name)),
               std::hash<double>{}(kind.layer_tokens_per_second));
@@ -505,8 +513,9 @@
   if (this->plans.size() >= kMostPlans) {
     this->plans.clear();
   }
-  PlannedDraws draws(PlanPipeline(backends.backends, usable, *query.model,
-                                  query.kinds, this->links),
+  PlannedDraws draws(PlanPipeline(backends.backends, usable,
+                                  {*query.model, query.kinds, this->links,
+                                   query.between_tokens}),
                      this->generator);
   return this->plans.emplace(key, std::move(draws)).first->second;
 }
--- a/packages/policy/src/policy/chain_router.h
+++ b/packages/policy/src/policy/chain_router.h
@@ -43,6 +43,9 @@
   /// Speeds by kind; an engine of another kind has an assumed speed.
   std::span<const AcceleratorKind> kinds;
   const PrefixIndex* prefixes = nullptr;
+  /// Tightest target of the model's classes; 0 if there is none. Chains avoid
+  /// links that would use up too much of it.
+  Duration between_tokens{};
 };
 
 /// Chooses chains by predicted time over the whole chain. Stages are drawn with
--- a/packages/policy/src/policy/forecast.cc
+++ b/packages/policy/src/policy/forecast.cc
@@ -297,8 +297,8 @@
   };
 
   static std::int64_t Units(double layer_tokens_per_second) {
-    constexpr double most = 1e17;
-    return std::llround(std::min(layer_tokens_per_second * kUnits, most));
+    constexpr double kMost = 1e17;
+    return std::llround(std::min(layer_tokens_per_second * kUnits, kMost));
   }
 
   bool Serves(const AcceleratorKind& kind, const RequestClass& request_class,
--- a/packages/policy/src/policy/load_estimate.cc
+++ b/packages/policy/src/policy/load_estimate.cc
@@ -42,11 +42,11 @@
   }
 }
 
-double LoadEstimate::Others(const Backend& engine) const {
+LoadEstimate::Snapshot LoadEstimate::At(const Backend& engine) const {
   const double reported = static_cast<double>(engine.running) + engine.queued;
   const auto found = this->engines.find(engine.name);
   if (found == this->engines.end()) {
-    return reported;
+    return {0, reported};
   }
   int own_then = found->second.in_flight;
   const auto& changes = found->second.changes;
@@ -54,18 +54,17 @@
        change != changes.rend() && change->at > engine.reported_at; ++change) {
     own_then -= change->streams;
   }
-  return std::max(reported - own_then, 0.0);
+  return {static_cast<double>(found->second.in_flight),
+          std::max(reported - own_then, 0.0)};
 }
 
-double LoadEstimate::Streams(const Backend& engine, const Drift& drift,
-                             TimePoint now) const {
+double LoadEstimate::Streams(const Backend& engine, const Snapshot& snapshot,
+                             const Drift& drift, TimePoint now) {
   const std::chrono::duration<double> age =
       std::max<Duration>(now - engine.reported_at, Duration::zero());
   const double kept =
       drift.stream_time.count() > 0 ? std::exp(-age / drift.stream_time) : 1;
-  const auto found = this->engines.find(engine.name);
-  const double own = found == this->engines.end() ? 0 : found->second.in_flight;
-  return own + kept * this->Others(engine) +
+  return snapshot.own + kept * snapshot.others +
          (1 - kept) * drift.others_per_slot * engine.slots;
 }
 
--- a/packages/policy/src/policy/load_estimate.h
+++ b/packages/policy/src/policy/load_estimate.h
@@ -36,13 +36,18 @@
   void OnStarted(std::string_view engine, TimePoint now);
   void OnFinished(std::string_view engine, TimePoint now);
 
-  /// Streams of other daemons at the time of the report.
-  double Others(const Backend& engine) const;
+  /// What is known of an engine, in streams.
+  struct Snapshot {
+    double own = 0;     ///< Of this daemon, now.
+    double others = 0;  ///< Of other daemons, at the time of the report.
+  };
+
+  Snapshot At(const Backend& engine) const;
 
   /// All streams now. Streams of others end and are replaced at the mean load,
   /// so an old report counts less the more stream times it is old.
-  double Streams(const Backend& engine, const Drift& drift,
-                 TimePoint now) const;
+  static double Streams(const Backend& engine, const Snapshot& snapshot,
+                        const Drift& drift, TimePoint now);
 
  private:
   struct Change {
--- a/packages/policy/src/policy/pipeline_plan.cc
+++ b/packages/policy/src/policy/pipeline_plan.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
-#include <set>
 #include <tuple>
 #include <utility>
 
@@ -17,8 +16,13 @@
 constexpr double kUnits = 1000;
 /// Links without a bound must not overflow the sum of capacities.
 constexpr double kMostUnits = 1e15;
-/// Steps of halving when the load of a range is evened out, to about 1%.
-constexpr int kEveningSteps = 7;
+/// Steps of halving when the load of ranges is evened out. Each is one flow;
+/// the plan is made on the thread that serves requests.
+constexpr int kEveningSteps = 4;
+/// Part of the time between tokens that a link may take there and back. Beyond
+/// it, engines and queues would have too little left, and streams would hold
+/// their slots for longer than the engines are planned for.
+constexpr double kLinkPart = 0.5;
 
 std::int64_t ToUnits(double tokens_per_second) {
   return std::max<std::int64_t>(
@@ -57,8 +61,7 @@
 /// its flow equally, so that the grouped maximum equals that of all engines.
 class GroupNetwork {
  public:
-  GroupNetwork(std::span<const EngineGroup> groups, const ModelSpec& model,
-               const LinkMap& links)
+  GroupNetwork(std::span<const EngineGroup> groups, const PipelineQuery& query)
       : flow(2 + 2 * groups.size()), groups(groups) {
     for (std::size_t i = 0; i < groups.size(); ++i) {
       this->engine_edges.push_back(
@@ -67,35 +70,47 @@
         this->entry_edges.emplace_back(
             i, this->flow.AddEdge(kSource, In(i), ToUnits(kMostUnits)));
       }
-      if (groups[i].last_layer + 1 == model.layers) {
+      if (groups[i].last_layer + 1 == query.model.layers) {
         this->flow.AddEdge(Out(i), kSink, ToUnits(kMostUnits));
       } else {
-        this->AddLinks(i, model, links);
+        this->AddLinks(i, query);
       }
     }
   }
 
   std::int64_t Solve() { return this->flow.Solve(kSource, kSink); }
 
-  /// Lowers the capacity of each layer range, one after the other, as far as
-  /// the maximum stays the same. Otherwise a range with capacity to spare may
-  /// have some engines full and others idle.
+  /// Lowers the capacities of each layer range in proportion to the flow
+  /// through it, or as far towards that as the maximum stays the same.
+  /// Otherwise a range with capacity to spare may have some engines full and
+  /// others idle.
   void EvenOut(std::int64_t maximum) {
-    std::set<std::pair<std::uint32_t, std::uint32_t>> ranges;
-    for (const auto& group : this->groups) {
-      ranges.emplace(group.first_layer, group.last_layer);
+    std::map<Range, double> flows;
+    std::map<Range, double> capacities;
+    for (std::size_t i = 0; i < this->groups.size(); ++i) {
+      const Range range = RangeOf(this->groups[i]);
+      flows[range] +=
+          static_cast<double>(this->flow.FlowOn(this->engine_edges[i]));
+      capacities[range] += static_cast<double>(this->Capacity(i));
     }
-    for (const auto& range : ranges) {
-      double low = 0;
-      double high = 1;
-      for (int step = 0; step < kEveningSteps; ++step) {
-        const double middle = (low + high) / 2;
-        this->Scale(range, middle);
-        (this->Solve() == maximum ? high : low) = middle;
+    const auto solve_at = [&](double spare_part) {
+      for (std::size_t i = 0; i < this->groups.size(); ++i) {
+        const Range range = RangeOf(this->groups[i]);
+        const double used = flows[range] / capacities[range];
+        this->Scale(i, used + spare_part * (1 - used));
       }
-      this->Scale(range, high);
+      return this->Solve();
+    };
+    if (solve_at(0) == maximum) {
+      return;
+    }
+    double low = 0;
+    double high = 1;
+    for (int step = 0; step < kEveningSteps; ++step) {
+      const double middle = (low + high) / 2;
+      (solve_at(middle) == maximum ? high : low) = middle;
     }
-    this->Solve();
+    solve_at(high);
   }
 
   void ReadInto(PipelinePlan& plan) const {
@@ -126,8 +141,12 @@
                    static_cast<double>(this->groups[group].members.size()));
   }
 
-  void AddLinks(std::size_t from, const ModelSpec& model,
-                const LinkMap& links) {
+  static bool IsTooSlow(const Link& link, const PipelineQuery& query) {
+    return query.between_tokens > Duration::zero() &&
+           2 * link.latency > kLinkPart * query.between_tokens;
+  }
+
+  void AddLinks(std::size_t from, const PipelineQuery& query) {
     const EngineGroup& sender = this->groups[from];
     for (std::size_t to = 0; to < this->groups.size(); ++to) {
       const EngineGroup& receiver = this->groups[to];
@@ -135,10 +154,14 @@
       if (receiver.first_layer > layer || receiver.last_layer < layer) {
         continue;
       }
-      const Link link = links.Between(sender.location(), receiver.location());
+      const Link link =
+          query.links.Between(sender.location(), receiver.location());
+      if (IsTooSlow(link, query)) {
+        continue;
+      }
       const double pairs = static_cast<double>(sender.members.size()) *
                            static_cast<double>(receiver.members.size());
-      const double bytes = std::max<double>(model.activation_bytes, 1);
+      const double bytes = std::max<double>(query.model.activation_bytes, 1);
       this->link_edges.emplace_back(
           from, to,
           this->flow.AddEdge(Out(from), In(to),
@@ -146,16 +169,16 @@
     }
   }
 
-  void Scale(const std::pair<std::uint32_t, std::uint32_t>& range,
-             double factor) {
-    for (std::size_t i = 0; i < this->groups.size(); ++i) {
-      if (this->groups[i].first_layer == range.first &&
-          this->groups[i].last_layer == range.second) {
-        const double units = factor * static_cast<double>(this->Capacity(i));
-        this->flow.SetCapacity(this->engine_edges[i],
-                               static_cast<std::int64_t>(std::ceil(units)));
-      }
-    }
+  using Range = std::pair<std::uint32_t, std::uint32_t>;
+
+  static Range RangeOf(const EngineGroup& group) {
+    return {group.first_layer, group.last_layer};
+  }
+
+  void Scale(std::size_t group, double factor) {
+    const double units = factor * static_cast<double>(this->Capacity(group));
+    this->flow.SetCapacity(this->engine_edges[group],
+                           static_cast<std::int64_t>(std::ceil(units)));
   }
 
   MaxFlow flow;
@@ -167,14 +190,27 @@
 
 }  // namespace
 
+namespace {
+
+/// The query without a limit on links if nothing can flow within it.
+PipelineQuery Relaxed(const PipelineQuery& query,
+                      std::span<const EngineGroup> groups) {
+  PipelineQuery relaxed = query;
+  const bool limited = query.between_tokens > Duration::zero();
+  if (limited && GroupNetwork(groups, query).Solve() == 0) {
+    relaxed.between_tokens = Duration::zero();
+  }
+  return relaxed;
+}
+
+}  // namespace
+
 PipelinePlan PlanPipeline(std::span<const Backend> backends,
                           std::span<const std::size_t> usable,
-                          const ModelSpec& model,
-                          std::span<const AcceleratorKind> kinds,
-                          const LinkMap& links) {
+                          const PipelineQuery& query) {
   PipelinePlan plan;
-  plan.groups = GroupEngines(backends, usable, kinds);
-  GroupNetwork network(plan.groups, model, links);
+  plan.groups = GroupEngines(backends, usable, query.kinds);
+  GroupNetwork network(plan.groups, Relaxed(query, plan.groups));
   const std::int64_t maximum = network.Solve();
   network.EvenOut(maximum);
   network.ReadInto(plan);
@@ -184,12 +220,10 @@
 
 double PipelineBound(std::span<const Backend> backends,
                      std::span<const std::size_t> usable,
-                     const ModelSpec& model,
-                     std::span<const AcceleratorKind> kinds,
-                     const LinkMap& links) {
-  const auto groups = GroupEngines(backends, usable, kinds);
-  return static_cast<double>(GroupNetwork(groups, model, links).Solve()) /
-         kUnits;
+                     const PipelineQuery& query) {
+  const auto groups = GroupEngines(backends, usable, query.kinds);
+  GroupNetwork network(groups, Relaxed(query, groups));
+  return static_cast<double>(network.Solve()) / kUnits;
 }
 
 }  // namespace qp::policy
--- a/packages/policy/src/policy/pipeline_plan.h
+++ b/packages/policy/src/policy/pipeline_plan.h
@@ -48,6 +48,16 @@
 /// Assumed speed of an engine whose accelerator kind is not configured.
 inline constexpr double kUnknownLayerTokensPerSecond = 20000;
 
+/// What the flow of a model runs through, apart from the engines.
+struct PipelineQuery {
+  const ModelSpec& model;
+  std::span<const AcceleratorKind> kinds;
+  const LinkMap& links;
+  /// Tightest target between tokens; 0 if there is none. Links that would use
+  /// up too much of it are left out, unless no flow is possible without them.
+  Duration between_tokens{};
+};
+
 /// Maximum flow through layers, engines and links, each engine running from
 /// the layer where it receives a token to its last one. An engine's capacity
 /// is its rate for all layers it holds, so where ranges overlap the flow is a
@@ -55,15 +65,11 @@
 /// layer range evenly. `usable` selects from `backends`.
 PipelinePlan PlanPipeline(std::span<const Backend> backends,
                           std::span<const std::size_t> usable,
-                          const ModelSpec& model,
-                          std::span<const AcceleratorKind> kinds,
-                          const LinkMap& links);
+                          const PipelineQuery& query);
 
 /// The bound alone, without the evened out flow.
 double PipelineBound(std::span<const Backend> backends,
                      std::span<const std::size_t> usable,
-                     const ModelSpec& model,
-                     std::span<const AcceleratorKind> kinds,
-                     const LinkMap& links);
+                     const PipelineQuery& query);
 
 }  // namespace qp::policy
--- a/packages/policy/src/policy/placement_policy.cc
+++ b/packages/policy/src/policy/placement_policy.cc
@@ -36,6 +36,14 @@
   return found == kinds.end() ? nullptr : &*found;
 }
 
+const ModelDemand* FindDemand(const PlacementInput& input,
+                              std::string_view model) {
+  const auto found =
+      std::find_if(input.demands.begin(), input.demands.end(),
+                   [&](const auto& demand) { return demand.model == model; });
+  return found == input.demands.end() ? nullptr : &*found;
+}
+
 Engines UsableEngines(const PlacementInput& input) {
   Engines usable;
   for (std::size_t i = 0; i < input.engines.size(); ++i) {
@@ -180,9 +188,9 @@
 
   /// Rises steeply while a cell has little of the mean capacity.
   double Utility(std::size_t cell, double tokens_per_second) const {
-    constexpr double steepness = 0.05;
+    constexpr double kSteepness = 0.05;
     return -this->LayersOf({cell, cell + 1}) /
-           (std::max(tokens_per_second, 0.0) / this->level + steepness);
+           (std::max(tokens_per_second, 0.0) / this->level + kSteepness);
   }
 
   std::optional<Range> BestRange(std::size_t engine) const {
@@ -417,20 +425,35 @@
 }  // namespace
 
 double DemandOf(const PlacementInput& input, std::string_view model) {
-  const auto found =
-      std::find_if(input.demands.begin(), input.demands.end(),
-                   [&](const auto& demand) { return demand.model == model; });
-  return found == input.demands.end() ? 1
-                                      : std::max(found->tokens_per_second, 1.0);
+  const auto* demand = FindDemand(input, model);
+  return demand == nullptr ? 1 : std::max(demand->tokens_per_second, 1.0);
 }
 
+Duration BetweenTokensOf(const PlacementInput& input, std::string_view model) {
+  const auto* demand = FindDemand(input, model);
+  return demand == nullptr ? Duration::zero() : demand->between_tokens;
+}
+
+namespace {
+
+void AddTarget(ModelDemand& demand, const Target& target) {
+  demand.tokens_per_second += target.tokens_per_second;
+  const bool tighter = demand.between_tokens <= Duration::zero() ||
+                       target.between_tokens < demand.between_tokens;
+  if (target.between_tokens > Duration::zero() && tighter) {
+    demand.between_tokens = target.between_tokens;
+  }
+}
+
+}  // namespace
+
 std::vector<ModelDemand> DemandsOf(const Configuration& configuration) {
   std::vector<ModelDemand> demands;
   for (const auto& model : configuration.models) {
-    ModelDemand demand{model.name, 0};
+    ModelDemand demand{model.name, 0, Duration::zero()};
     for (const auto& request_class : configuration.classes) {
       if (request_class.model == model.name) {
-        demand.tokens_per_second += request_class.target.tokens_per_second;
+        AddTarget(demand, request_class.target);
       }
     }
     demands.push_back(std::move(demand));
@@ -469,7 +492,9 @@
   }
   std::vector<std::size_t> usable(engines.size());
   std::iota(usable.begin(), usable.end(), 0);
-  return PipelineBound(engines, usable, model, input.kinds, input.links);
+  return PipelineBound(
+      engines, usable,
+      {model, input.kinds, input.links, BetweenTokensOf(input, model.name)});
 }
 
 double ServedTokens(const PlacementInput& input,
--- a/packages/policy/src/policy/placement_policy.h
+++ b/packages/policy/src/policy/placement_policy.h
@@ -25,6 +25,8 @@
 struct ModelDemand {
   std::string model;
   double tokens_per_second = 0;  ///< Sum of the targets of its classes.
+  /// Tightest target of its classes; 0 if there is none.
+  Duration between_tokens{};
 };
 
 /// What a placement is decided from. Engines that are not routable are left
@@ -41,6 +43,9 @@
 /// placed where that costs no other model anything.
 double DemandOf(const PlacementInput& input, std::string_view model);
 
+/// Tightest target between tokens of a model; 0 if there is none.
+Duration BetweenTokensOf(const PlacementInput& input, std::string_view model);
+
 /// Demands of all classes of a configuration, by model.
 std::vector<ModelDemand> DemandsOf(const Configuration& configuration);
 
--- a/packages/policy/src/policy/retry_budget.cc
+++ b/packages/policy/src/policy/retry_budget.cc
@@ -10,8 +10,8 @@
 
 bool RetryBudget::TryTake() {
   // Ten additions of 0.1 sum to slightly less than 1.
-  constexpr double rounding = 1e-9;
-  if (this->balance + rounding < 1) {
+  constexpr double kRounding = 1e-9;
+  if (this->balance + kRounding < 1) {
     return false;
   }
   this->balance -= 1;
--- a/packages/policy/tests/policy/admission_test.cc
+++ b/packages/policy/tests/policy/admission_test.cc
@@ -149,9 +149,9 @@
 
   const auto run = [&](double other_rate) {
     std::map<std::string, int> admitted;
-    constexpr int steps = 60000;  // milliseconds
+    constexpr int kSteps = 60000;  // milliseconds
     double asked = 0;
-    for (int i = 0; i < steps; ++i) {
+    for (int i = 0; i < kSteps; ++i) {
       const auto now = TimePoint{} + std::chrono::milliseconds(i);
       if (i % 5 == 0) {
         admitted["look-up"] += admission.Decide(Ask("w"), now).admitted();
--- a/packages/policy/tests/policy/max_flow_test.cc
+++ b/packages/policy/tests/policy/max_flow_test.cc
@@ -122,7 +122,7 @@
       }
     }
     const auto plan =
-        qp::policy::PlanPipeline(engines, usable, model, kinds, links);
+        qp::policy::PlanPipeline(engines, usable, {model, kinds, links});
     const auto cut =
         static_cast<double>(SmallestCut(2 + 2 * count, edges)) / 1000;
     // Rounding to thousandths differs once per engine and link.
@@ -150,11 +150,34 @@
   qp::ModelSpec model;
   model.layers = 2;
   model.activation_bytes = 1;
+  const LinkMap links;
   const auto plan =
-      qp::policy::PlanPipeline(engines, usable, model, kinds, LinkMap{});
+      qp::policy::PlanPipeline(engines, usable, {model, kinds, links});
   CHECK(plan.tokens_per_second == Approx(100));
   REQUIRE(plan.next[0].size() == 3);
   for (const auto& hop : plan.next[0]) {
     CHECK(hop.tokens_per_second == Approx(100.0 / 3).margin(2));
   }
 }
+
+// Guards against chains whose links alone use up the time between tokens, and
+// against a model out of service because only such links are left.
+TEST_CASE("Slow links are used only where nothing else can flow",
+          "[max_flow]") {
+  std::vector<Backend> engines(3);
+  for (std::size_t i = 0; i < engines.size(); ++i) {
+    engines[i].first_layer = engines[i].last_layer = i == 0 ? 0 : 1;
+    engines[i].region = i == 1 ? "far" : "near";
+  }
+  qp::ModelSpec model;
+  model.layers = 2;
+  const LinkMap links;  // 30 ms between regions.
+  const qp::policy::PipelineQuery query{
+      model, {}, links, std::chrono::milliseconds(66)};
+  const std::vector<std::size_t> all{0, 1, 2};
+  auto plan = qp::policy::PlanPipeline(engines, all, query);
+  REQUIRE(plan.next[0].size() == 1);
+  CHECK(plan.groups[plan.next[0][0].group].region == "near");
+  const std::vector<std::size_t> split{0, 1};
+  CHECK(qp::policy::PlanPipeline(engines, split, query).tokens_per_second > 0);
+}
--- a/packages/policy/tests/policy/placement_test.cc
+++ b/packages/policy/tests/policy/placement_test.cc
@@ -185,8 +185,8 @@
   std::deque<std::pair<int, LayerAssignment>> under_way;  // by end, seconds
   double bytes = 0;
   double largest = 0;
-  constexpr int length = 1500;
-  for (int second = 0; second < length; ++second) {
+  constexpr int kLength = 1500;
+  for (int second = 0; second < kLength; ++second) {
     std::erase_if(under_way, [&](const auto& item) {
       const bool done = item.first <= second;
       if (done) {
--- a/packages/policy/tests/policy/retry_budget_test.cc
+++ b/packages/policy/tests/policy/retry_budget_test.cc
@@ -7,16 +7,16 @@
           "[retry]") {
   qp::policy::RetryBudget budget;
   int retries = 0;
-  constexpr int tries = 10000;
-  for (int i = 0; i < tries; ++i) {
+  constexpr int kTries = 10000;
+  for (int i = 0; i < kTries; ++i) {
     budget.OnFirstTry();
     while (budget.TryTake()) {
       ++retries;
     }
   }
-  CHECK(retries <= tries / 10 + 10);
+  CHECK(retries <= kTries / 10 + 10);
   // A budget that never refills would pass the bound above.
-  CHECK(retries >= tries / 10);
+  CHECK(retries >= kTries / 10);
 }
 
 TEST_CASE("A quiet period does not accumulate retries without bound",
