--- a/packages/gateway/src/gateway/operator_api.cc
+++ b/packages/gateway/src/gateway/operator_api.cc
@@ -5,6 +5,7 @@
 
 #include "gateway/bearer_token.h"
 #include "gateway/responses.h"
+#include "platform/configuration_store.h"
 
 namespace qp {
 
@@ -126,7 +127,7 @@
     : service(target),
       token_sha256(std::move(digest)),
       events(sink),
-      ids(seed) {}
+      random(seed) {}
 
 Task<void> OperatorApi::Handle(http::Request request,
                                http::Responder& responder) {
@@ -214,7 +215,7 @@
   }
   std::string change_id = http::QueryParameter(request, "change_id");
   if (change_id.empty()) {
-    change_id = this->ids.Next();
+    change_id = ConfigurationStore::MakeChangeId(*version, this->random());
   }
   auto document = nlohmann::json::parse(request.body(), nullptr, false);
   if (document.is_discarded()) {
--- a/packages/gateway/src/gateway/operator_api.h
+++ b/packages/gateway/src/gateway/operator_api.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include <random>
 #include <string>
 
 #include "foundation/event.h"
-#include "gateway/id_generator.h"
 #include "gateway/operator_service.h"
 #include "http/server.h"
 
@@ -34,7 +34,7 @@
   OperatorService& service;
   std::string token_sha256;
   EventSink& events;
-  IdGenerator ids;
+  std::mt19937_64 random;
 };
 
 }  // namespace qp
--- a/packages/gateway/src/gateway/responses.cc
+++ b/packages/gateway/src/gateway/responses.cc
@@ -21,8 +21,6 @@
       return http::Status::not_found;
     case ErrorCode::kConflict:
       return http::Status::conflict;
-    case ErrorCode::kRefused:
-      return http::Status::too_many_requests;
     case ErrorCode::kTimeout:
       return http::Status::gateway_timeout;
     default:
@@ -36,15 +34,15 @@
 }
 
 http::Status UnknownStatus(ErrorCode code) {
+  if (code == ErrorCode::kConflict) {
+    return http::Status::conflict;
+  }
   return code == ErrorCode::kTimeout || code == ErrorCode::kUnknownEffect
              ? http::Status::gateway_timeout
              : http::Status::bad_gateway;
 }
 
 std::string_view TypeOf(http::Status status) {
-  if (status == http::Status::too_many_requests) {
-    return "rate_limit_error";
-  }
   return static_cast<unsigned>(status) < 500 ? "invalid_request_error"
                                              : "server_error";
 }
