--- a/packages/apps/quetzalpostctl/main.cc
+++ b/packages/apps/quetzalpostctl/main.cc
@@ -1,5 +1,8 @@
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
 #include <caf/actor_system.hpp>
 #include <caf/actor_system_config.hpp>
+#include <cstdint>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -12,7 +15,6 @@
 #include "gateway/ctl/command_line.h"
 #include "gateway/ctl/commands.h"
 #include "gateway/ctl/http_operator_transport.h"
-#include "gateway/id_generator.h"
 
 namespace {
 
@@ -28,8 +30,19 @@
   return token;
 }
 
+/// Addresses in QUETZALPOST_DAEMON, separated by commas.
+std::vector<std::string> DefaultDaemons() {
+  std::vector<std::string> daemons;
+  const char* value = std::getenv("QUETZALPOST_DAEMON");
+  if (value != nullptr && *value != '\0') {
+    boost::algorithm::split(daemons, std::string(value),
+                            boost::algorithm::is_any_of(","));
+  }
+  return daemons;
+}
+
 /// Change ids of different operators must differ.
-std::uint64_t RandomSeed() {
+std::uint64_t RandomNumber() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32) | device();
 }
@@ -45,8 +58,7 @@
   caf::actor_system system(config);
   qp::CafClock clock(system);
   qp::ctl::HttpOperatorTransport transport(clock, token);
-  qp::ctl::Session session{transport, std::cout, std::cerr,
-                           qp::IdGenerator(RandomSeed()).Next()};
+  qp::ctl::Session session{transport, std::cout, std::cerr, RandomNumber()};
   return static_cast<int>(qp::ctl::RunCommand(line, session));
 }
 
@@ -54,7 +66,7 @@
 
 int main(int argc, char** argv) {
   const std::vector<std::string> arguments(argv + 1, argv + argc);
-  const auto parsed = qp::ctl::ParseCommandLine(arguments);
+  const auto parsed = qp::ctl::ParseCommandLine(arguments, DefaultDaemons());
   if (const auto* notice = std::get_if<qp::ctl::Notice>(&parsed)) {
     const bool is_error = notice->exit_code != qp::ctl::ExitCode::kOk;
     (is_error ? std::cerr : std::cout) << notice->text;
--- a/packages/gateway/src/gateway/ctl/command_line.cc
+++ b/packages/gateway/src/gateway/ctl/command_line.cc
@@ -65,7 +65,9 @@
   cxxopts::Options options("quetzalpostctl " + std::string(info.name),
                            std::string(info.summary));
   options.add_options()(
-      "daemon", "Operator address of a daemon, IP:port; repeat for more",
+      "daemon",
+      "Operator address of a daemon, IP:port; repeat for more; else "
+      "QUETZALPOST_DAEMON",
       cxxopts::value<std::vector<std::string>>())(
       "token-file", "File with the bearer token; else QUETZALPOST_TOKEN",
       cxxopts::value<std::string>()->default_value(""))(
@@ -74,9 +76,7 @@
     options.add_options()(
         "expected-version",
         "Version that FILE is based on, 0 for the first; else its \"version\"",
-        cxxopts::value<std::uint64_t>())(
-        "change-id", "Name of the change; else one is generated",
-        cxxopts::value<std::string>()->default_value(""));
+        cxxopts::value<std::uint64_t>());
   }
   if (info.command == Command::kForecast) {
     options.add_options()("what-if",
@@ -101,29 +101,38 @@
   return parsed.count(name) > 0 ? parsed[name].as<std::string>() : "";
 }
 
+std::vector<std::string> DaemonsOf(
+    const cxxopts::ParseResult& parsed,
+    const std::vector<std::string>& default_daemons) {
+  return parsed.count("daemon") > 0
+             ? parsed["daemon"].as<std::vector<std::string>>()
+             : default_daemons;
+}
+
 std::optional<std::string> MistakeIn(const CommandInfo& info,
-                                     const cxxopts::ParseResult& parsed) {
+                                     const cxxopts::ParseResult& parsed,
+                                     const std::vector<std::string>& daemons) {
   if (!parsed.unmatched().empty()) {
     return "unexpected argument " + parsed.unmatched().front();
   }
   if (!info.argument.empty() && parsed.count("argument") == 0) {
     return std::string(info.argument) + " is missing";
   }
-  if (parsed.count("daemon") == 0) {
-    return "--daemon is missing";
+  if (daemons.empty()) {
+    return "--daemon is missing and QUETZALPOST_DAEMON is not set";
   }
-  const auto daemons = parsed["daemon"].as<std::vector<std::string>>().size();
-  if (info.command == Command::kDrain && daemons != 1) {
+  if (info.command == Command::kDrain && daemons.size() != 1) {
     return "drain takes exactly one --daemon";
   }
   return std::nullopt;
 }
 
 CommandLine ToCommandLine(const CommandInfo& info,
-                          const cxxopts::ParseResult& parsed) {
+                          const cxxopts::ParseResult& parsed,
+                          std::vector<std::string> daemons) {
   CommandLine line;
   line.command = info.command;
-  line.daemons = parsed["daemon"].as<std::vector<std::string>>();
+  line.daemons = std::move(daemons);
   line.token_file = TextOr(parsed, "token-file");
   line.json = parsed.count("json") > 0;
   if (info.command == Command::kResolve) {
@@ -132,7 +141,6 @@
     line.file = TextOr(parsed, "argument");
   }
   if (info.command == Command::kApply) {
-    line.change_id = TextOr(parsed, "change-id");
     if (parsed.count("expected-version") > 0) {
       line.expected_version = parsed["expected-version"].as<std::uint64_t>();
     }
@@ -147,7 +155,8 @@
 }
 
 std::variant<CommandLine, Notice> ParseCommand(
-    const CommandInfo& info, const std::vector<std::string>& arguments) {
+    const CommandInfo& info, const std::vector<std::string>& arguments,
+    const std::vector<std::string>& default_daemons) {
   std::vector<const char*> argv;
   for (const std::string& argument : arguments) {
     argv.push_back(argument.c_str());
@@ -159,11 +168,12 @@
     if (parsed.count("help") > 0) {
       return Notice{ExitCode::kOk, options.help({""})};
     }
-    if (const auto mistake = MistakeIn(info, parsed)) {
+    std::vector<std::string> daemons = DaemonsOf(parsed, default_daemons);
+    if (const auto mistake = MistakeIn(info, parsed, daemons)) {
       return UsageError(*mistake);
     }
-    return ToCommandLine(info, parsed);
-  } catch (const cxxopts::OptionException& failure) {
+    return ToCommandLine(info, parsed, std::move(daemons));
+  } catch (const cxxopts::exceptions::exception& failure) {
     return UsageError(failure.what());
   }
 }
@@ -171,7 +181,8 @@
 }  // namespace
 
 std::variant<CommandLine, Notice> ParseCommandLine(
-    const std::vector<std::string>& arguments) {
+    const std::vector<std::string>& arguments,
+    const std::vector<std::string>& default_daemons) {
   if (arguments.empty()) {
     return Notice{ExitCode::kUsage, Overview()};
   }
@@ -185,7 +196,7 @@
   if (info == kCommands.end()) {
     return UsageError("unknown command " + name + "\n\n" + Overview());
   }
-  return ParseCommand(*info, arguments);
+  return ParseCommand(*info, arguments, default_daemons);
 }
 
 }  // namespace qp::ctl
--- a/packages/gateway/src/gateway/ctl/command_line.h
+++ b/packages/gateway/src/gateway/ctl/command_line.h
@@ -32,7 +32,7 @@
   std::string file;                  ///< Configuration, for apply and diff.
   std::string what_if_file;          ///< For forecast; may be empty.
   std::string trace_file;            ///< For timeline; may be empty.
-  std::string change_id;             ///< For resolve and, optionally, apply.
+  std::string change_id;             ///< For resolve.
   std::optional<std::uint64_t> expected_version;  ///< For apply.
 };
 
@@ -42,8 +42,10 @@
   std::string text;
 };
 
-/// Reads the arguments without the program's name.
+/// Reads the arguments without the program's name. `default_daemons` are used
+/// where no --daemon is given.
 std::variant<CommandLine, Notice> ParseCommandLine(
-    const std::vector<std::string>& arguments);
+    const std::vector<std::string>& arguments,
+    const std::vector<std::string>& default_daemons);
 
 }  // namespace qp::ctl
--- a/packages/gateway/src/gateway/ctl/commands.cc
+++ b/packages/gateway/src/gateway/ctl/commands.cc
@@ -12,6 +12,7 @@
 #include "gateway/responses.h"
 #include "gateway/timeline_json.h"
 #include "gateway/url.h"
+#include "platform/configuration_store.h"
 
 namespace qp::ctl {
 
@@ -46,14 +47,22 @@
 }
 
 ExitCode CodeOf(const Error& error) {
+  if (error.code == ErrorCode::kInvalidArgument) {
+    return ExitCode::kUsage;
+  }
   return error.code == ErrorCode::kUnknownEffect ? ExitCode::kUnknown
                                                  : ExitCode::kUnreachable;
 }
 
-/// An error of an exchange, with each daemon's own line.
-ExitCode Fail(Session& session, const Error& error, ExitCode code) {
+ExitCode Fail(Session& session, const Error& error) {
   session.err << "error: " << ToString(error) << '\n';
-  return code;
+  return CodeOf(error);
+}
+
+/// A read has no effect that could be unknown.
+ExitCode FailRead(Session& session, const Error& error) {
+  const ExitCode code = Fail(session, error);
+  return code == ExitCode::kUnknown ? ExitCode::kUnreachable : code;
 }
 
 std::string MessageOf(const OperatorReply& reply) {
@@ -97,8 +106,7 @@
                     const OperatorRequest& request) {
   const Result<OperatorReply> reply = Exchange(line, session, request);
   if (!reply) {
-    // A read has no effect that could be unknown.
-    return Fail(session, reply.error(), ExitCode::kUnreachable);
+    return FailRead(session, reply.error());
   }
   if (reply.value().status >= kFirstErrorStatus) {
     return FailReply(session, reply.value());
@@ -148,7 +156,7 @@
       http::Verb::get, "/v1/configuration/changes/" + UrlEncode(change_id), ""};
   const Result<OperatorReply> reply = Exchange(line, session, request);
   if (!reply) {
-    return Fail(session, reply.error(), ExitCode::kUnreachable);
+    return FailRead(session, reply.error());
   }
   return ShowChange(line, session, reply.value());
 }
@@ -196,8 +204,8 @@
                    "first configuration\n";
     return ExitCode::kUsage;
   }
-  const std::string& change_id =
-      line.change_id.empty() ? session.change_id : line.change_id;
+  const std::string change_id =
+      ConfigurationStore::MakeChangeId(*version, session.random);
   // Printed before the change is sent, so that it can be resolved even if
   // this process ends before the answer.
   session.err << "change id: " << change_id << '\n';
@@ -213,7 +221,7 @@
   if (CodeOf(reply.error()) == ExitCode::kUnknown) {
     return ResolveLost(line, session, change_id, reply.error());
   }
-  return Fail(session, reply.error(), ExitCode::kUnreachable);
+  return Fail(session, reply.error());
 }
 
 /// The part of a configuration that operators state.
@@ -233,7 +241,7 @@
   const OperatorRequest request{http::Verb::get, "/v1/configuration", ""};
   const Result<OperatorReply> reply = Exchange(line, session, request);
   if (!reply) {
-    return Fail(session, reply.error(), ExitCode::kUnreachable);
+    return FailRead(session, reply.error());
   }
   if (reply.value().status >= kFirstErrorStatus) {
     return FailReply(session, reply.value());
@@ -273,7 +281,7 @@
   const OperatorRequest request{http::Verb::post, "/v1/drain", ""};
   const Result<OperatorReply> reply = Exchange(line, session, request);
   if (!reply) {
-    return Fail(session, reply.error(), CodeOf(reply.error()));
+    return Fail(session, reply.error());
   }
   if (reply.value().status >= kFirstErrorStatus) {
     return FailReply(session, reply.value());
--- a/packages/gateway/src/gateway/ctl/commands.h
+++ b/packages/gateway/src/gateway/ctl/commands.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <iosfwd>
 #include <string>
 
@@ -12,9 +13,9 @@
 /// What a command works with.
 struct Session {
   OperatorTransport& transport;
-  std::ostream& out;      ///< The result.
-  std::ostream& err;      ///< Errors and hints.
-  std::string change_id;  ///< For a change that comes without one.
+  std::ostream& out;     ///< The result.
+  std::ostream& err;     ///< Errors and hints.
+  std::uint64_t random;  ///< Makes change ids unique; differs by call.
 };
 
 /// Runs a command. Daemons are tried in the order given; a change is sent to
--- a/packages/gateway/src/gateway/ctl/http_operator_transport.cc
+++ b/packages/gateway/src/gateway/ctl/http_operator_transport.cc
@@ -5,6 +5,18 @@
 
 namespace qp::ctl {
 
+namespace {
+
+Task<void> SendOnce(http::Client& client, std::string daemon,
+                    http::Request request,
+                    std::optional<Result<http::Response>>& answer) {
+  answer.emplace(co_await client.Send(std::move(daemon), std::move(request),
+                                      HttpOperatorTransport::kBound,
+                                      http::Connection::kFresh));
+}
+
+}  // namespace
+
 HttpOperatorTransport::HttpOperatorTransport(Clock& time, std::string bearer)
     : clock(time), token(std::move(bearer)) {}
 
@@ -19,15 +31,8 @@
   asio::io_context io;
   http::Client client(io, this->clock);
   std::optional<Result<http::Response>> answer;
-  asio::co_spawn(
-      io,
-      client.Send(daemon, std::move(message), kBound, http::Connection::kFresh),
-      [&](std::exception_ptr failure, Result<http::Response> response) {
-        if (!failure) {
-          answer.emplace(std::move(response));
-        }
-        io.stop();
-      });
+  asio::co_spawn(io, SendOnce(client, daemon, std::move(message), answer),
+                 [&io](const std::exception_ptr&) { io.stop(); });
   // The bound of the exchange is a timer of the clock and not of the context,
   // which must therefore not run out of work.
   const auto work = asio::make_work_guard(io);
