Name the engines' request in the id of a chat answer

Cause: engines know a request by the daemon's call id, which is unique also where callers repeat an X-Request-Id; callers could not relate an answer to what the engines ran. Change: the answer's id is chatcmpl- followed by the call id.

--- a/packages/gateway/src/gateway/caller_api.cc
+++ b/packages/gateway/src/gateway/caller_api.cc
@@ -165,6 +165,7 @@
 
   ChatIdentity identity;
   identity.request_id = context.request_id;
+  identity.call_id = context.call_id;
   identity.class_name = chat.class_name;
   identity.max_tokens = chat.max_tokens;
   identity.created = SecondsOf(this->parts.clock.WallNow());
--- a/packages/gateway/src/gateway/chat_answer.cc
+++ b/packages/gateway/src/gateway/chat_answer.cc
@@ -111,7 +111,7 @@
                                    {"delta", std::move(delta)},
                                    {"finish_reason", std::move(finish_reason)}};
     const nlohmann::json chunk = {
-        {"id", "chatcmpl-" + this->identity.request_id},
+        {"id", "chatcmpl-" + this->identity.call_id},
         {"object", "chat.completion.chunk"},
         {"created", this->identity.created},
         {"model", this->identity.class_name},
@@ -164,7 +164,7 @@
         {"finish_reason", FinishReason(this->identity, this->tokens)}};
     // The router does not tokenize prompts, so it reports no prompt tokens.
     const nlohmann::json document = {
-        {"id", "chatcmpl-" + this->identity.request_id},
+        {"id", "chatcmpl-" + this->identity.call_id},
         {"object", "chat.completion"},
         {"created", this->identity.created},
         {"model", this->identity.class_name},
--- a/packages/gateway/src/gateway/chat_answer.h
+++ b/packages/gateway/src/gateway/chat_answer.h
@@ -14,6 +14,7 @@
 /// What the chunks of one chat answer have in common.
 struct ChatIdentity {
   std::string request_id;  ///< As returned in X-Request-Id.
+  std::string call_id;     ///< Names the answer towards engines.
   std::string class_name;
   std::uint32_t max_tokens = 0;
   std::int64_t created = 0;  ///< Seconds since the Unix epoch.
