--- a/packages/standins/src/standins/table_standin.cc
+++ b/packages/standins/src/standins/table_standin.cc
@@ -56,7 +56,7 @@
   const TimePoint now = this->clock.Now();
   const std::uint64_t limit = this->options.writes_per_second;
   if (limit > 0 && this->writes.InSecondOf(now) >= limit) {
-    return ErrorResponse(http::Status::too_many_requests, "rate_limited",
+    return ErrorResponse(http::Status::service_unavailable, "rate_limited",
                          "the write rate is exceeded");
   }
   const auto mode = body.at("mode").get<std::string>();
--- a/packages/standins/src/standins/table_standin.h
+++ b/packages/standins/src/standins/table_standin.h
@@ -27,7 +27,7 @@
 };
 
 struct TableOptions {
-  std::uint64_t writes_per_second = 0;  ///< More get 429; 0: unlimited.
+  std::uint64_t writes_per_second = 0;  ///< More get 503; 0: unlimited.
 };
 
 /// Transactional table service. `all` applies every operation or none; `each`
--- a/tests/process/standins_test.py
+++ b/tests/process/standins_test.py
@@ -340,7 +340,7 @@
         for number in range(3):
             body = {"mode": "all", "operations": [{"put": {"key": f"k{number}", "value": 1}}]}
             status, _ = exchange_json(table.address, "POST", "/v1/table/transact", body)
-            refused += status == 429
+            refused += status == 503
         self.assertGreaterEqual(refused, 1)
         found = exchange_json(table.address, "GET", "/v1/table/items?prefix=k")[1]["items"]
         self.assertEqual(len(found), 3 - refused)
