--- /dev/null
+++ b/packages/cluster/src/cluster/cluster_node.cc
@@ -0,0 +1,599 @@
+#include "cluster/cluster_node.h"
+
+#include <algorithm>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+#include "cluster/budget_exchange.h"
+#include "cluster/configuration_spread.h"
+#include "cluster/gossip.h"
+#include "cluster/membership.h"
+#include "cluster/messages.h"
+#include "cluster/observation_spread.h"
+#include "cluster/overlay.h"
+#include "cluster/version_agreement.h"
+#include "config/configuration_json.h"
+
+namespace qp {
+
+namespace {
+
+using policy::BudgetGeneration;
+using policy::BudgetMember;
+
+/// A daemon that neither reads the table nor hears a majority stops after
+/// this time.
+constexpr Duration kConfirmationPeriod = std::chrono::seconds(9);
+/// A member silent for this long is not part of the next generation.
+constexpr Duration kSilentBeforeRemoval = std::chrono::seconds(9);
+/// A planned stop waits this long for acknowledgements of its grants.
+constexpr Duration kLeavePatience = std::chrono::seconds(2);
+constexpr std::size_t kObservers = 2;  // for each backend server
+
+std::uint32_t SecondsOf(WallMillis millis) {
+  return static_cast<std::uint32_t>(millis / 1000);
+}
+
+void SortUnique(std::vector<BudgetMember>& members) {
+  std::sort(members.begin(), members.end());
+  members.erase(std::unique(members.begin(), members.end()), members.end());
+}
+
+}  // namespace
+
+struct ClusterNode::State {
+  State(NodeIdentity self, std::vector<std::string> seeds, PeerLink& peer_link,
+        Timeline* event_timeline, EventSink& sink, std::uint64_t seed)
+      : identity(std::move(self)),
+        link(peer_link),
+        timeline(event_timeline),
+        events(sink),
+        membership(this->identity, sink),
+        gossip(this->membership, this->observations, std::move(seeds), seed),
+        exchange({this->identity.node, this->identity.incarnation}, sink,
+                 seed + 1) {}
+
+  // Sending.
+
+  void Flush(std::vector<Envelope>& out) {
+    for (const Envelope& envelope : out) {
+      MessageHeader header{
+          this->identity.peer_address, this->identity.incarnation, {}};
+      if (this->timeline != nullptr) {
+        header.time = this->timeline->Stamp();
+      }
+      const std::string bytes = EncodeMessage(header, envelope.message);
+      ++this->counters.messages_sent;
+      this->counters.bytes_sent += bytes.size();
+      this->link.Send(envelope.to, bytes);
+    }
+    out.clear();
+  }
+
+  LocalNews News(TimePoint now) {
+    return {this->OwnVersions(), this->exchange.Shortages(now)};
+  }
+
+  AnnouncedVersions OwnVersions() const {
+    return {this->configurations.version(), this->generations.version()};
+  }
+
+  // Receiving, one overload for each kind of message.
+
+  void Handle(const MessageHeader& header, const Digest& digest, TimePoint now,
+              std::vector<Envelope>& out) {
+    if (!this->gossip.OnDigest(header, digest, this->News(now), now, out)) {
+      return;
+    }
+    this->exchange.OnShortages(digest.shortages, now);
+    this->configurations.OnAnnounced(header.address,
+                                     digest.configuration_version, now, out);
+    this->generations.OnAnnounced(header.address, digest.generation, now, out);
+  }
+
+  void Handle(const MessageHeader& header, const ConfigurationRequest& request,
+              TimePoint, std::vector<Envelope>& out) {
+    this->SpreadOf(request.document).OnRequest(header.address, request, out);
+  }
+
+  void Handle(const MessageHeader& header, const ConfigurationPush& push,
+              TimePoint now, std::vector<Envelope>& out) {
+    const auto document = this->SpreadOf(push.document).OnPush(push, now);
+    if (!document) {
+      return;
+    }
+    const bool applied = push.document == DocumentKind::kConfiguration
+                             ? this->ApplyReceivedConfiguration(*document, now)
+                             : this->ApplyReceivedGeneration(*document, now);
+    if (!applied) {
+      ++this->counters.malformed;
+      return;
+    }
+    out.push_back(
+        {header.address, ConfigurationAck{push.document, document->version,
+                                          HashName(this->identity.node)}});
+  }
+
+  void Handle(const MessageHeader&, const ConfigurationAck& ack, TimePoint,
+              std::vector<Envelope>&) {
+    const bool configuration = ack.document == DocumentKind::kConfiguration;
+    this->membership.Acknowledged(ack.node, {configuration ? ack.version : 0,
+                                             configuration ? 0 : ack.version});
+  }
+
+  void Handle(const MessageHeader& header, const policy::BudgetGrant& grant,
+              TimePoint, std::vector<Envelope>& out) {
+    this->exchange.OnGrant(grant, header.address, out);
+  }
+
+  void Handle(const MessageHeader&, const BudgetGrantAck& ack, TimePoint,
+              std::vector<Envelope>&) {
+    this->exchange.ledger().Acknowledge(ack.generation, ack.number);
+  }
+
+  void Handle(const MessageHeader& header, const Farewell& farewell, TimePoint,
+              std::vector<Envelope>&) {
+    this->membership.Acknowledged(
+        farewell.node, {farewell.configuration_version, farewell.generation});
+    this->membership.MarkLeft(farewell.node, header.incarnation);
+  }
+
+  ConfigurationSpread& SpreadOf(DocumentKind kind) {
+    return kind == DocumentKind::kConfiguration ? this->configurations
+                                                : this->generations;
+  }
+
+  // Documents.
+
+  bool ApplyReceivedConfiguration(const Document& document, TimePoint) {
+    auto parsed = ParseConfiguration(document.content);
+    if (!parsed || parsed.value().version != document.version) {
+      return false;
+    }
+    if (this->configurations.Offer(document.version, document.content)) {
+      this->UseConfiguration(std::move(parsed).value());
+    }
+    return true;
+  }
+
+  bool ApplyReceivedGeneration(const Document& document, TimePoint now) {
+    auto decoded = DecodeGeneration(document.content);
+    if (!decoded || decoded.value().number != document.version) {
+      return false;
+    }
+    this->UseGeneration(std::move(decoded).value(), now);
+    return true;
+  }
+
+  void UseConfiguration(Configuration next) {
+    this->configuration =
+        std::make_shared<const Configuration>(std::move(next));
+    this->exchange.SetConfiguration(this->configuration);
+    this->rate_agreement = {};
+    this->gossip.RequestRound();
+    this->events.Record(
+        EventId::kConfigurationReceived,
+        {{"version", std::to_string(this->configuration->version)},
+         {"change", this->configuration->change_id}});
+  }
+
+  void UseGeneration(BudgetGeneration generation, TimePoint now) {
+    SortUnique(generation.members);
+    SortUnique(generation.previous_members);
+    const std::uint64_t number = generation.number;
+    if (!this->generations.Offer(number, EncodeGeneration(generation))) {
+      return;
+    }
+    this->exchange.ledger().Adopt(std::move(generation), now);
+    this->generation_agreement = {};
+    this->gossip.RequestRound();
+    this->events.Record(EventId::kBudgetGeneration,
+                        {{"generation", std::to_string(number)}});
+  }
+
+  // Agreement. `Base` are the daemons of which a majority confirms.
+
+  /// Members of the known generation; before the first one, all daemons that
+  /// this one has heard of.
+  std::vector<BudgetMember> Base() const {
+    const BudgetGeneration& generation = this->exchange.ledger().Known();
+    if (generation.number > 0) {
+      return generation.members;
+    }
+    std::set<BudgetMember> base;
+    base.insert({this->identity.node, this->identity.incarnation});
+    for (const auto& [node, record] : this->membership.records()) {
+      base.insert({record.identity.node, record.identity.incarnation});
+    }
+    for (const Contact& contact : this->contacts) {
+      if (this->membership.FindByName(contact.node) == nullptr &&
+          contact.node != this->identity.node) {
+        base.insert({contact.node, 0});
+      }
+    }
+    return {base.begin(), base.end()};
+  }
+
+  bool IsListed(const std::string& node) const {
+    return std::any_of(
+        this->contacts.begin(), this->contacts.end(),
+        [&node](const Contact& contact) { return contact.node == node; });
+  }
+
+  /// Whether the daemon has stopped for good: it is missing from a VM list
+  /// that has been read and has been silent.
+  bool IsRemoved(const BudgetMember& member, const MemberRecord* record,
+                 TimePoint now) const {
+    if (this->contacts.empty() || this->IsListed(member.node)) {
+      return false;
+    }
+    const TimePoint silent_since =
+        record != nullptr ? record->heard_at : this->started_at.value_or(now);
+    const bool gone = record == nullptr || record->state == MemberState::kGone;
+    return gone && now >= silent_since + kSilentBeforeRemoval;
+  }
+
+  /// Counts the members of `base` that take part and those of them for which
+  /// `knows` holds.
+  bool UpdateAgreement(VersionAgreement& agreement,
+                       const std::vector<BudgetMember>& base, TimePoint now,
+                       const std::function<bool(const MemberRecord&)>& knows) {
+    std::size_t members = 0;
+    std::size_t knowing = 0;
+    for (const BudgetMember& member : base) {
+      const MemberRecord* record = this->membership.FindByName(member.node);
+      if (record != nullptr && record->left) {
+        continue;
+      }
+      ++members;
+      const bool self = member.node == this->identity.node;
+      const bool informed =
+          record != nullptr &&
+          record->identity.incarnation >= member.incarnation && knows(*record);
+      if (self || informed || this->IsRemoved(member, record, now)) {
+        ++knowing;
+      }
+    }
+    return agreement.Update(members, knowing, now);
+  }
+
+  void UpdateAgreements(TimePoint now) {
+    policy::BudgetLedger& ledger = this->exchange.ledger();
+    if (ledger.IsWaiting()) {
+      const std::uint64_t number = ledger.KnownGeneration();
+      const bool stopped = this->UpdateAgreement(
+          this->generation_agreement, ledger.Known().previous_members, now,
+          [number](const MemberRecord& record) {
+            return record.generation >= number;
+          });
+      ledger.Activate(stopped, now);
+    }
+    if (this->exchange.HasUnsettledRates()) {
+      const std::uint64_t version = this->configurations.version();
+      const bool settled = this->UpdateAgreement(
+          this->rate_agreement, this->Base(), now,
+          [version](const MemberRecord& record) {
+            return record.configuration_version >= version;
+          });
+      if (settled) {
+        this->exchange.SettleRates(version);
+      }
+    }
+  }
+
+  /// Time after which more than half of the base has exchanged heartbeats
+  /// with this daemon. Members that know a higher version don't count, since
+  /// this daemon isn't up to date with them.
+  std::optional<TimePoint> ConfirmedByMembers(TimePoint now) const {
+    const AnnouncedVersions own = this->OwnVersions();
+    std::vector<TimePoint> exchanges;
+    std::size_t members = 0;
+    for (const BudgetMember& member : this->Base()) {
+      const bool self = member.node == this->identity.node;
+      const MemberRecord* record = this->membership.FindByName(member.node);
+      const bool current = record != nullptr &&
+                           record->configuration_version <= own.configuration &&
+                           record->generation <= own.generation;
+      if (record != nullptr && record->left && current) {
+        continue;
+      }
+      ++members;
+      if (self) {
+        exchanges.push_back(now);
+      } else if (current && !record->left && record->exchanged_at) {
+        exchanges.push_back(*record->exchanged_at);
+      }
+    }
+    const std::size_t majority = members / 2 + 1;
+    if (exchanges.size() < majority) {
+      return std::nullopt;
+    }
+    const auto nth =
+        exchanges.begin() + static_cast<std::ptrdiff_t>(majority - 1);
+    std::nth_element(exchanges.begin(), nth, exchanges.end(), std::greater<>());
+    return *nth;
+  }
+
+  void Confirm(std::optional<TimePoint> at) {
+    if (at && (!this->confirmed_at || *at > *this->confirmed_at)) {
+      this->confirmed_at = at;
+    }
+  }
+
+  bool IsConfirmed(TimePoint now) const {
+    return this->confirmed_at &&
+           now < *this->confirmed_at + kConfirmationPeriod;
+  }
+
+  void UpdateConfirmation(TimePoint now) {
+    this->Confirm(this->ConfirmedByMembers(now));
+    const bool confirmed = this->IsConfirmed(now);
+    if (confirmed == this->was_confirmed) {
+      return;
+    }
+    this->was_confirmed = confirmed;
+    this->events.Record(
+        confirmed ? EventId::kConfirmationRegained : EventId::kConfirmationLost,
+        {});
+  }
+
+  /// Daemons that take part now, and listed members that are not yet silent
+  /// for long enough to be removed.
+  std::vector<BudgetMember> NextMembers(TimePoint now) const {
+    std::vector<BudgetMember> members;
+    members.push_back({this->identity.node, this->identity.incarnation});
+    const auto& active = this->exchange.ledger().Active().members;
+    for (const auto& [node, record] : this->membership.records()) {
+      const BudgetMember member{record.identity.node,
+                                record.identity.incarnation};
+      const bool listed =
+          std::binary_search(active.begin(), active.end(), member);
+      const bool recent =
+          !record.left && now < record.heard_at + kSilentBeforeRemoval;
+      if (IsPresent(record.state) || (listed && recent)) {
+        members.push_back(member);
+      }
+    }
+    SortUnique(members);
+    return members;
+  }
+
+  NodeIdentity identity;
+  PeerLink& link;
+  Timeline* timeline;
+  EventSink& events;
+  ClusterCounters counters;
+  Membership membership;
+  ObservationSpread observations;
+  ConfigurationSpread configurations{DocumentKind::kConfiguration};
+  ConfigurationSpread generations{DocumentKind::kBudgetGeneration};
+  Gossip gossip;
+  BudgetExchange exchange;
+  VersionAgreement generation_agreement;
+  VersionAgreement rate_agreement;
+  std::shared_ptr<const Configuration> configuration;
+  std::vector<Contact> contacts;
+  std::optional<TimePoint> started_at;
+  std::optional<TimePoint> confirmed_at;
+  std::optional<TimePoint> leaving_at;
+  bool was_confirmed = false;
+};
+
+ClusterNode::ClusterNode(NodeIdentity identity, std::vector<std::string> seeds,
+                         PeerLink& link, Timeline* timeline, EventSink& events,
+                         std::uint64_t random_seed)
+    : state(std::make_unique<State>(std::move(identity), std::move(seeds), link,
+                                    timeline, events, random_seed)) {}
+
+ClusterNode::~ClusterNode() = default;
+
+void ClusterNode::Tick(TimePoint now) {
+  State& node = *this->state;
+  if (!node.started_at) {
+    node.started_at = now;
+  }
+  std::vector<Envelope> out;
+  if (!node.leaving_at) {
+    node.gossip.Tick(node.News(now), now, out);
+    node.UpdateConfirmation(now);
+    node.UpdateAgreements(now);
+  }
+  node.exchange.Tick(node.membership, now, out);
+  node.Flush(out);
+}
+
+void ClusterNode::OnMessage(std::string_view message, TimePoint now) {
+  State& node = *this->state;
+  ++node.counters.messages_received;
+  auto received = DecodeMessage(message);
+  if (!received) {
+    const bool unknown = received.error().code == ErrorCode::kNotFound;
+    ++(unknown ? node.counters.unknown : node.counters.malformed);
+    node.events.Record(EventId::kMessageDropped,
+                       {{"reason", received.error().detail}});
+    return;
+  }
+  const MessageHeader& header = received.value().header;
+  if (node.timeline != nullptr) {
+    node.timeline->Observe(header.time);
+  }
+  std::vector<Envelope> out;
+  std::visit([&](const auto& body) { node.Handle(header, body, now, out); },
+             received.value().message);
+  node.Flush(out);
+}
+
+void ClusterNode::SetContacts(std::vector<Contact> contacts) {
+  std::vector<std::string> addresses;
+  addresses.reserve(contacts.size());
+  for (const Contact& contact : contacts) {
+    addresses.push_back(contact.peer_address);
+  }
+  this->state->gossip.SetContacts(std::move(addresses));
+  this->state->contacts = std::move(contacts);
+}
+
+bool ClusterNode::OfferConfiguration(Configuration configuration, TimePoint) {
+  State& node = *this->state;
+  if (configuration.version <= node.configurations.version()) {
+    return false;
+  }
+  node.configurations.Offer(configuration.version,
+                            ToJson(configuration).dump());
+  node.UseConfiguration(std::move(configuration));
+  return true;
+}
+
+std::shared_ptr<const Configuration> ClusterNode::CurrentConfiguration() const {
+  return this->state->configuration;
+}
+
+void ClusterNode::ConfirmedByTable(TimePoint read_began) {
+  this->state->Confirm(read_began);
+}
+
+std::optional<TimePoint> ClusterNode::ConfirmedAt() const {
+  return this->state->confirmed_at;
+}
+
+bool ClusterNode::IsConfirmed(TimePoint now) const {
+  return this->state->IsConfirmed(now);
+}
+
+bool ClusterNode::HasAskedAllPeers(TimePoint now) const {
+  const State& node = *this->state;
+  return node.gossip.HasAskedAllPeers(now) &&
+         node.configurations.highest_seen() <= node.configurations.version();
+}
+
+std::vector<std::string> ClusterNode::PendingMembers(std::uint64_t version,
+                                                     TimePoint now) const {
+  std::vector<std::string> pending;
+  for (const auto& [node, record] : this->state->membership.records()) {
+    const bool stopped =
+        record.left || (record.state == MemberState::kGone &&
+                        now >= record.heard_at + kConfirmationPeriod);
+    if (!stopped && record.configuration_version < version) {
+      pending.push_back(record.identity.node);
+    }
+  }
+  std::sort(pending.begin(), pending.end());
+  return pending;
+}
+
+void ClusterNode::PublishObservation(Observation observation, TimePoint now) {
+  // Without a time line, monotonic time is as good a lower bound within one
+  // machine, where the tests run.
+  const WallMillis millis =
+      this->state->timeline != nullptr
+          ? this->state->timeline->Stamp().millis
+          : std::chrono::duration_cast<std::chrono::milliseconds>(
+                now.time_since_epoch())
+                .count();
+  this->state->observations.Publish(std::move(observation), SecondsOf(millis));
+}
+
+std::vector<Observation> ClusterNode::Observations(TimePoint) const {
+  return this->state->observations.Current();
+}
+
+bool ClusterNode::ShouldObserve(std::string_view backend) const {
+  const State& node = *this->state;
+  const NameHash self = HashName(node.identity.node);
+  std::vector<NameHash> nodes = {self};
+  for (const auto& [hash, record] : node.membership.records()) {
+    if (IsPresent(record.state)) {
+      nodes.push_back(hash);
+    }
+  }
+  const auto observers =
+      ChooseByRendezvous(HashName(backend), nodes, kObservers);
+  return std::find(observers.begin(), observers.end(), self) != observers.end();
+}
+
+void ClusterNode::SetBudgetGeneration(BudgetGeneration generation,
+                                      TimePoint now) {
+  this->state->UseGeneration(std::move(generation), now);
+}
+
+std::optional<BudgetGeneration> ClusterNode::ProposeGeneration(
+    TimePoint now) const {
+  const State& node = *this->state;
+  const policy::BudgetLedger& ledger = node.exchange.ledger();
+  const bool settled = !ledger.IsWaiting() && node.generations.highest_seen() ==
+                                                  node.generations.version();
+  if (!settled || node.leaving_at || !this->HasAskedAllPeers(now) ||
+      !node.IsConfirmed(now)) {
+    return std::nullopt;
+  }
+  BudgetGeneration next;
+  next.members = node.NextMembers(now);
+  if (next.members == ledger.Active().members) {
+    return std::nullopt;
+  }
+  next.number = ledger.ActiveGeneration() + 1;
+  next.previous_members = ledger.Active().members;
+  return next;
+}
+
+void ClusterNode::ReportDemand(std::string_view class_name,
+                               const ClassDemand& demand, TimePoint now) {
+  this->state->exchange.ReportDemand(class_name, demand, now);
+}
+
+void ClusterNode::Leave(TimePoint now) {
+  State& node = *this->state;
+  if (node.leaving_at) {
+    return;
+  }
+  node.leaving_at = now;
+  std::vector<Envelope> out;
+  node.exchange.GiveAllAway(node.membership, out);
+  const AnnouncedVersions versions = node.OwnVersions();
+  for (const auto& [hash, record] : node.membership.records()) {
+    if (IsPresent(record.state)) {
+      out.push_back({record.identity.peer_address,
+                     Farewell{HashName(node.identity.node),
+                              versions.configuration, versions.generation}});
+    }
+  }
+  node.Flush(out);
+}
+
+bool ClusterNode::HasLeft(TimePoint now) const {
+  const State& node = *this->state;
+  return node.leaving_at && (!node.exchange.ledger().HasUnacknowledged() ||
+                             now >= *node.leaving_at + kLeavePatience);
+}
+
+MembersView ClusterNode::Members(TimePoint) const {
+  return this->state->membership.View();
+}
+
+BudgetsView ClusterNode::Budgets(TimePoint now) const {
+  BudgetsView view = this->state->exchange.View();
+  if (!this->state->IsConfirmed(now)) {
+    view.shares.clear();
+  }
+  return view;
+}
+
+const ClusterCounters& ClusterNode::counters() const {
+  return this->state->counters;
+}
+
+std::size_t ClusterNode::EstimateStateBytes() const {
+  const State& node = *this->state;
+  std::size_t bytes = sizeof(node);
+  bytes += node.membership.EstimateStateBytes();
+  bytes += node.observations.EstimateStateBytes();
+  bytes += node.configurations.EstimateStateBytes();
+  bytes += node.generations.EstimateStateBytes();
+  bytes += node.gossip.EstimateStateBytes();
+  bytes += node.exchange.EstimateStateBytes();
+  return bytes;
+}
+
+}  // namespace qp
--- a/packages/cluster/src/cluster/cluster_node.h
+++ b/packages/cluster/src/cluster/cluster_node.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "blackboard/views.h"
+#include "cluster/class_demand.h"
 #include "cluster/identity.h"
 #include "cluster/observation.h"
 #include "cluster/peer_link.h"
@@ -20,12 +21,6 @@
 
 namespace qp {
 
-/// Demand for a class at one daemon.
-struct ClassDemand {
-  double used_per_second = 0;      ///< Requests admitted within the share.
-  double shortage_per_second = 0;  ///< Requests refused for lack of share.
-};
-
 /// Counts since the node was created.
 struct ClusterCounters {
   std::uint64_t messages_sent = 0;
--- /dev/null
+++ b/packages/cluster/src/cluster/gossip.cc
@@ -0,0 +1,560 @@
+#include "cluster/gossip.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "cluster/overlay.h"
+#include "cluster/size_estimate.h"
+
+namespace qp {
+
+namespace {
+
+/// Urgent news is sent this many times more, against lost messages.
+constexpr std::uint8_t kUrgentRepeats = 2;
+/// Beyond a full mesh, a member's heartbeat is passed on every so many counts
+/// (3 s), which keeps its age below the confirmation period on all paths.
+constexpr std::uint32_t kRelayedHeartbeats = 6;
+/// In a full mesh, an observer reports to all itself; others pass on only what
+/// a peer has never had.
+constexpr Duration kOwnObservationAge = std::chrono::seconds(5);
+constexpr std::size_t kEntryBytes = 12;
+constexpr std::size_t kDetailEstimate = 80;     // bytes, one description
+constexpr std::size_t kFixedDigestBytes = 90;   // header and fixed fields
+constexpr std::size_t kMaxNamesPerDigest = 64;  // asked for or answered
+constexpr std::uint64_t kProbeEveryRounds = 2;
+constexpr std::size_t kRoundsPerSecond =
+    std::chrono::seconds(1) / Gossip::kRoundInterval;
+constexpr Duration kForgetPeerAfter = std::chrono::seconds(30);
+
+bool IsNewer(std::uint32_t sequence, std::uint32_t than) {
+  return than == 0 || static_cast<std::int32_t>(sequence - than) > 0;
+}
+
+MemberDetail DetailOf(const NodeIdentity& identity) {
+  return {identity.node, identity.peer_address, identity.region,
+          identity.availability_zone, identity.incarnation};
+}
+
+}  // namespace
+
+Gossip::Gossip(Membership& member_records,
+               ObservationSpread& observation_records,
+               std::vector<std::string> seed_addresses,
+               std::uint64_t random_seed)
+    : membership(member_records),
+      observations(observation_records),
+      seeds(std::move(seed_addresses)),
+      random(random_seed),
+      first_sequence(static_cast<std::uint32_t>(this->random() >> 33U)) {}
+
+void Gossip::SetContacts(std::vector<std::string> addresses) {
+  this->contacts = std::move(addresses);
+}
+
+void Gossip::Tick(const LocalNews& news, TimePoint now,
+                  std::vector<Envelope>& out) {
+  this->membership.Expire(this->neighbours, now);
+  this->observations.Expire(now);
+  this->UpdateNeighbours(now);
+  if (!this->next_round) {
+    const auto phase = std::uniform_int_distribution<std::int64_t>(
+        0, kRoundInterval.count() - 1)(this->random);
+    this->next_round = now + Duration(phase) - kRoundInterval;
+  }
+  if (now >= *this->next_round) {
+    while (*this->next_round <= now) {
+      *this->next_round += kRoundInterval;
+    }
+    ++this->heartbeat;
+    ++this->rounds;
+    this->SendRound(news, now, out);
+    this->AskUnanswered(news, now, out);
+    this->Probe(news, now, out);
+    std::erase_if(this->peers, [now](const auto& entry) {
+      return now >= entry.second.used_at + kForgetPeerAfter;
+    });
+  } else {
+    this->SendUrgent(news, now, out);
+  }
+  this->round_requested = false;
+}
+
+bool Gossip::OnDigest(const MessageHeader& header, const Digest& digest,
+                      const LocalNews& news, TimePoint now,
+                      std::vector<Envelope>& out) {
+  for (const MemberDetail& detail : digest.member_details) {
+    this->membership.Learn(detail, now);
+  }
+  const MemberRecord* sender = this->membership.Find(digest.node);
+  if (sender != nullptr && header.incarnation < sender->identity.incarnation) {
+    return false;
+  }
+  Peer& peer = this->PeerOf(header.address, now);
+  if (peer.incarnation != header.incarnation) {
+    const auto first_asked = peer.first_asked;
+    const auto sequence = peer.sequence;
+    const auto sent = peer.sent;
+    peer = {};
+    peer.first_asked = first_asked;
+    peer.sequence = sequence;
+    peer.sent = sent;
+    peer.used_at = now;
+    peer.incarnation = header.incarnation;
+  }
+  peer.answered = true;
+  if (IsNewer(digest.sequence, peer.received_sequence)) {
+    peer.received_sequence = digest.sequence;
+  }
+  std::optional<TimePoint> exchanged_at;
+  for (const SentDigest& sent : peer.sent) {
+    if (digest.echo != 0 && sent.sequence == digest.echo) {
+      exchanged_at = sent.at;
+      peer.knows_self = true;
+    }
+  }
+  if (sender == nullptr || sender->identity.incarnation != header.incarnation) {
+    peer.unknown.insert(digest.node);
+  } else {
+    this->membership.HearDirectly(
+        digest.node, digest.heartbeat,
+        {digest.configuration_version, digest.generation}, exchanged_at, now);
+  }
+  this->TakeMembers(peer, digest, exchanged_at, now);
+  this->TakeObservations(peer, digest, now);
+  this->TakeUnknown(peer, digest);
+  if (digest.wants_reply && !this->neighbours.contains(digest.node)) {
+    this->SendDigest(header.address, Scope::kReply, news, now, out);
+  }
+  return true;
+}
+
+bool Gossip::HasAskedAllPeers(TimePoint now) const {
+  if (this->rounds == 0) {
+    return false;
+  }
+  const auto addresses = this->AddressesToAsk();
+  return std::all_of(
+      addresses.begin(), addresses.end(),
+      [this, now](const std::string& address) {
+        const auto found = this->peers.find(address);
+        return found != this->peers.end() &&
+               (found->second.answered ||
+                (found->second.first_asked &&
+                 now >= *found->second.first_asked + kAnswerTimeout));
+      });
+}
+
+std::size_t Gossip::EstimateStateBytes() const {
+  std::size_t bytes = sizeof(*this);
+  for (const auto& [address, peer] : this->peers) {
+    bytes += detail::kHashNodeBytes + sizeof(address) + address.capacity() +
+             sizeof(peer);
+    bytes +=
+        peer.members.size() * (detail::kHashNodeBytes + sizeof(KnownMember));
+    bytes += peer.observations.size() *
+             (detail::kHashNodeBytes + sizeof(KnownObservation));
+    bytes += (peer.unknown.size() + peer.requested.size()) *
+             (detail::kHashNodeBytes + 8);
+  }
+  return bytes;
+}
+
+Gossip::Peer& Gossip::PeerOf(const std::string& address, TimePoint now) {
+  Peer& peer = this->peers[address];
+  peer.used_at = now;
+  return peer;
+}
+
+void Gossip::UpdateNeighbours(TimePoint now) {
+  if (this->composition == this->membership.composition()) {
+    return;
+  }
+  this->composition = this->membership.composition();
+  const NodeIdentity& self = this->membership.self();
+  std::vector<OverlayNode> nodes;
+  nodes.push_back({HashName(self.node), HashName(self.availability_zone)});
+  for (const auto& [node, record] : this->membership.records()) {
+    if (IsPresent(record.state)) {
+      nodes.push_back({node, HashName(record.identity.availability_zone)});
+    }
+  }
+  std::unordered_map<NameHash, TimePoint> next;
+  for (const NameHash node : ChooseNeighbours(HashName(self.node), nodes)) {
+    const auto previous = this->neighbours.find(node);
+    next.emplace(node,
+                 previous != this->neighbours.end() ? previous->second : now);
+  }
+  this->neighbours = std::move(next);
+}
+
+std::uint64_t Gossip::UrgentTotal() const {
+  return this->membership.urgent_total() + this->observations.urgent_total();
+}
+
+void Gossip::SendRound(const LocalNews& news, TimePoint now,
+                       std::vector<Envelope>& out) {
+  for (const auto& [node, since] : this->neighbours) {
+    const MemberRecord* record = this->membership.Find(node);
+    if (record != nullptr) {
+      this->SendDigest(record->identity.peer_address, Scope::kRegular, news,
+                       now, out);
+    }
+  }
+}
+
+void Gossip::SendUrgent(const LocalNews& news, TimePoint now,
+                        std::vector<Envelope>& out) {
+  const std::uint64_t total = this->UrgentTotal();
+  for (const auto& [node, since] : this->neighbours) {
+    const MemberRecord* record = this->membership.Find(node);
+    if (record == nullptr) {
+      continue;
+    }
+    const std::string& address = record->identity.peer_address;
+    const Peer& peer = this->PeerOf(address, now);
+    if (this->round_requested || peer.urgent_seen != total ||
+        peer.urgent_left) {
+      this->SendDigest(address, Scope::kUrgent, news, now, out);
+    }
+  }
+}
+
+void Gossip::AskUnanswered(const LocalNews& news, TimePoint now,
+                           std::vector<Envelope>& out) {
+  if (this->asked_all) {
+    return;
+  }
+  bool complete = true;
+  for (const std::string& address : this->AddressesToAsk()) {
+    Peer& peer = this->PeerOf(address, now);
+    if (peer.answered) {
+      continue;
+    }
+    if (!peer.first_asked) {
+      peer.first_asked = now;
+    }
+    if (now < *peer.first_asked + kAnswerTimeout) {
+      complete = false;
+      this->SendDigest(address, Scope::kReply, news, now, out);
+      std::get<Digest>(out.back().message).wants_reply = true;
+    }
+  }
+  this->asked_all = complete;
+}
+
+void Gossip::Probe(const LocalNews& news, TimePoint now,
+                   std::vector<Envelope>& out) {
+  if (this->rounds % kProbeEveryRounds != 0) {
+    return;
+  }
+  std::set<std::string> candidates(this->seeds.begin(), this->seeds.end());
+  candidates.insert(this->contacts.begin(), this->contacts.end());
+  for (const auto& [node, record] : this->membership.records()) {
+    if (record.state == MemberState::kGone) {
+      candidates.insert(record.identity.peer_address);
+    }
+  }
+  for (const auto& [node, record] : this->membership.records()) {
+    if (record.state != MemberState::kGone) {
+      candidates.erase(record.identity.peer_address);
+    }
+  }
+  candidates.erase(this->membership.self().peer_address);
+  if (candidates.empty()) {
+    return;
+  }
+  const auto index = std::uniform_int_distribution<std::size_t>(
+      0, candidates.size() - 1)(this->random);
+  const std::string& address =
+      *std::next(candidates.begin(), static_cast<std::ptrdiff_t>(index));
+  this->SendDigest(address, Scope::kReply, news, now, out);
+  std::get<Digest>(out.back().message).wants_reply = true;
+}
+
+void Gossip::SendDigest(const std::string& address, Scope scope,
+                        const LocalNews& news, TimePoint now,
+                        std::vector<Envelope>& out) {
+  Peer& peer = this->PeerOf(address, now);
+  const NodeIdentity& self = this->membership.self();
+  if (peer.sequence == 0) {
+    peer.sequence = this->first_sequence;
+  }
+  ++peer.sequence;
+  peer.sent[peer.sequence % peer.sent.size()] = {peer.sequence, now};
+  peer.last_sent = now;
+  if (!peer.first_asked) {
+    peer.first_asked = now;
+  }
+
+  Digest digest;
+  digest.node = HashName(self.node);
+  digest.sequence = peer.sequence;
+  digest.echo = peer.received_sequence;
+  digest.wants_reply = scope == Scope::kRegular;
+  digest.heartbeat = this->heartbeat;
+  digest.configuration_version = news.versions.configuration;
+  digest.generation = news.versions.generation;
+  if (!peer.knows_self) {
+    digest.member_details.push_back(DetailOf(self));
+  }
+  this->FillRequested(peer, news, now, digest);
+  if (scope != Scope::kReply) {
+    peer.urgent_seen = this->UrgentTotal();
+    peer.urgent_left = false;
+    this->FillMembers(peer, address, scope, news, now, digest);
+    this->FillUrgentObservations(peer, now, digest);
+  }
+  if (scope == Scope::kRegular) {
+    digest.shortages = news.shortages;
+    const std::size_t used =
+        kFixedDigestBytes +
+        (digest.members.size() + digest.shortages.size()) * kEntryBytes;
+    const std::size_t limit = this->DigestBytes();
+    this->FillObservations(peer, limit > used ? limit - used : 0, now, digest);
+  }
+  while (!peer.unknown.empty() && digest.unknown.size() < kMaxNamesPerDigest) {
+    digest.unknown.push_back(*peer.unknown.begin());
+    peer.unknown.erase(peer.unknown.begin());
+  }
+  out.push_back({address, std::move(digest)});
+}
+
+void Gossip::FillRequested(Peer& peer, const LocalNews& news, TimePoint now,
+                           Digest& digest) {
+  for (std::size_t count = 0;
+       count < kMaxNamesPerDigest && !peer.requested.empty(); ++count) {
+    const NameHash name = *peer.requested.begin();
+    peer.requested.erase(peer.requested.begin());
+    if (name == digest.node) {
+      peer.knows_self = false;
+      digest.member_details.assign(1, DetailOf(this->membership.self()));
+      continue;
+    }
+    const MemberRecord* record = this->membership.Find(name);
+    if (record != nullptr && IsPresent(record->state)) {
+      digest.member_details.push_back(DetailOf(record->identity));
+      digest.members.push_back(
+          Membership::EntryFor(name, *record, news.versions, now));
+      continue;
+    }
+    const auto backend = this->observations.records().find(name);
+    if (backend != this->observations.records().end()) {
+      peer.observations[name].has_detail = false;
+      this->AddObservation(peer, name, backend->second, now, digest);
+    }
+  }
+}
+
+void Gossip::FillMembers(Peer& peer, const std::string& address, Scope scope,
+                         const LocalNews& news, TimePoint now, Digest& digest) {
+  const std::uint32_t step = this->IsFullMesh() ? 1 : kRelayedHeartbeats;
+  std::size_t detail_bytes = 0;
+  std::vector<std::pair<std::uint32_t, NameHash>> due;
+  const auto add = [&](NameHash node, const MemberRecord& record,
+                       KnownMember& known) {
+    digest.members.push_back(
+        Membership::EntryFor(node, record, news.versions, now));
+    known.heartbeat = std::max(known.heartbeat, record.heartbeat);
+    known.configuration_version = record.configuration_version;
+  };
+  for (const auto& [node, record] : this->membership.records()) {
+    if (record.identity.peer_address == address) {
+      continue;
+    }
+    KnownMember& known = peer.members[node];
+    const bool present = IsPresent(record.state);
+    if (!known.has_detail || known.incarnation != record.identity.incarnation) {
+      if (present && detail_bytes < kDetailBytes) {
+        detail_bytes += kDetailEstimate;
+        digest.member_details.push_back(DetailOf(record.identity));
+        known = {};
+        known.has_detail = true;
+        known.incarnation = record.identity.incarnation;
+        known.urgent_revision = record.urgent_revision;
+        add(node, record, known);
+      } else if (present) {
+        peer.urgent_left = true;
+      }
+    } else if (known.urgent_revision != record.urgent_revision) {
+      known.urgent_revision = record.urgent_revision;
+      known.repeats = kUrgentRepeats;
+      peer.urgent_left = true;
+      add(node, record, known);
+    } else if (known.repeats > 0) {
+      --known.repeats;
+      peer.urgent_left = peer.urgent_left || known.repeats > 0;
+      add(node, record, known);
+    } else if (scope == Scope::kRegular && present) {
+      const bool refresh = record.heartbeat / step > known.heartbeat / step;
+      const bool version =
+          record.configuration_version > known.configuration_version;
+      if (refresh || version) {
+        due.emplace_back(record.heartbeat - known.heartbeat, node);
+      }
+    }
+  }
+  // Most outdated first, within half of the digest.
+  const std::size_t limit = this->DigestBytes() / 2 / kEntryBytes;
+  std::sort(due.begin(), due.end(), std::greater<>());
+  for (const auto& [gap, node] : due) {
+    if (digest.members.size() >= limit) {
+      break;
+    }
+    add(node, *this->membership.Find(node), peer.members[node]);
+  }
+}
+
+void Gossip::FillUrgentObservations(Peer& peer, TimePoint now, Digest& digest) {
+  for (const auto& [name, record] : this->observations.records()) {
+    if (record.urgent_revision == 0) {
+      continue;
+    }
+    KnownObservation& known = peer.observations[name];
+    if (known.urgent_revision != record.urgent_revision) {
+      known.urgent_revision = record.urgent_revision;
+      known.repeats = kUrgentRepeats;
+      peer.urgent_left = true;
+      this->AddObservation(peer, name, record, now, digest);
+    } else if (known.repeats > 0) {
+      --known.repeats;
+      peer.urgent_left = peer.urgent_left || known.repeats > 0;
+      this->AddObservation(peer, name, record, now, digest);
+    }
+  }
+}
+
+void Gossip::FillObservations(Peer& peer, std::size_t bytes, TimePoint now,
+                              Digest& digest) {
+  const auto& names = this->observations.order();
+  const auto& records = this->observations.records();
+  const bool mesh = this->IsFullMesh();
+  std::size_t detail_bytes = 0;
+  std::size_t used = 0;
+  for (std::size_t step = 0; step < names.size() && used < bytes; ++step) {
+    peer.observation_cursor = (peer.observation_cursor + 1) % names.size();
+    const NameHash name = names[peer.observation_cursor];
+    const ObservationRecord& record = records.find(name)->second;
+    const auto known = peer.observations.find(name);
+    const bool has_detail = known != peer.observations.end() &&
+                            known->second.has_detail &&
+                            known->second.detail_tag == record.detail_tag;
+    if (has_detail) {
+      const bool relayed = mesh && (!record.own_at ||
+                                    now >= *record.own_at + kOwnObservationAge);
+      if (relayed || known->second.counter >= record.counter) {
+        continue;
+      }
+      used += kEntryBytes;
+    } else if (detail_bytes < kDetailBytes) {
+      detail_bytes += kDetailEstimate;
+    } else {
+      continue;
+    }
+    this->AddObservation(peer, name, record, now, digest);
+  }
+}
+
+void Gossip::AddObservation(Peer& peer, NameHash name,
+                            const ObservationRecord& record, TimePoint now,
+                            Digest& digest) {
+  KnownObservation& known = peer.observations[name];
+  if (!known.has_detail || known.detail_tag != record.detail_tag) {
+    digest.backend_details.push_back(ObservationSpread::DetailFor(record));
+    known.has_detail = true;
+    known.detail_tag = record.detail_tag;
+  }
+  known.counter = record.counter;
+  digest.observations.push_back(ObservationSpread::EntryFor(name, record, now));
+}
+
+void Gossip::TakeMembers(Peer& peer, const Digest& digest,
+                         std::optional<TimePoint> exchanged_at, TimePoint now) {
+  const NameHash self = HashName(this->membership.self().node);
+  for (const MemberDetail& detail : digest.member_details) {
+    KnownMember& known = peer.members[HashName(detail.node)];
+    if (!known.has_detail || known.incarnation < detail.incarnation) {
+      known = {};
+      known.has_detail = true;
+      known.incarnation = detail.incarnation;
+      const MemberRecord* record = this->membership.Find(HashName(detail.node));
+      known.urgent_revision = record != nullptr ? record->urgent_revision : 0;
+    }
+  }
+  const AnnouncedVersions relay = {digest.configuration_version,
+                                   digest.generation};
+  for (const MemberEntry& entry : digest.members) {
+    if (entry.node == self) {
+      continue;
+    }
+    if (!this->membership.HearRelayed(entry, relay, exchanged_at, now)) {
+      peer.unknown.insert(entry.node);
+      continue;
+    }
+    KnownMember& known = peer.members[entry.node];
+    const MemberRecord* record = this->membership.Find(entry.node);
+    const bool outdated_report =
+        entry.flag == MemberEntry::Flag::kSuspect && !record->suspected;
+    if (outdated_report && known.has_detail) {
+      // The reporter has missed a heartbeat that arrived here.
+      known.heartbeat = entry.heartbeat;
+      known.repeats = kUrgentRepeats;
+      peer.urgent_left = true;
+    } else {
+      known.heartbeat = std::max(known.heartbeat, entry.heartbeat);
+    }
+  }
+}
+
+void Gossip::TakeObservations(Peer& peer, const Digest& digest, TimePoint now) {
+  std::unordered_map<NameHash, const BackendDetail*> details;
+  for (const BackendDetail& detail : digest.backend_details) {
+    details.emplace(HashName(detail.backend), &detail);
+  }
+  for (const ObservationEntry& entry : digest.observations) {
+    const auto found = details.find(entry.backend);
+    const BackendDetail* detail =
+        found != details.end() ? found->second : nullptr;
+    if (!this->observations.Merge(entry, detail, now)) {
+      peer.unknown.insert(entry.backend);
+      continue;
+    }
+    KnownObservation& known = peer.observations[entry.backend];
+    known.has_detail = true;
+    known.detail_tag = entry.detail_tag;
+    known.counter = std::max(known.counter, entry.counter);
+  }
+}
+
+void Gossip::TakeUnknown(Peer& peer, const Digest& digest) {
+  for (const NameHash name : digest.unknown) {
+    if (peer.requested.size() < kMaxNamesPerDigest) {
+      peer.requested.insert(name);
+    }
+  }
+  peer.urgent_left = peer.urgent_left || !peer.requested.empty();
+}
+
+std::vector<std::string> Gossip::AddressesToAsk() const {
+  std::set<std::string> addresses(this->seeds.begin(), this->seeds.end());
+  addresses.insert(this->contacts.begin(), this->contacts.end());
+  for (const auto& [node, record] : this->membership.records()) {
+    if (IsPresent(record.state)) {
+      addresses.insert(record.identity.peer_address);
+    }
+  }
+  addresses.erase(this->membership.self().peer_address);
+  return {addresses.begin(), addresses.end()};
+}
+
+std::size_t Gossip::DigestBytes() const {
+  const std::size_t count = std::max<std::size_t>(this->neighbours.size(), 1);
+  return kBytesPerSecond / (count * kRoundsPerSecond);
+}
+
+bool Gossip::IsFullMesh() const {
+  return this->neighbours.size() < kFullMeshNodes;
+}
+
+}  // namespace qp
--- /dev/null
+++ b/packages/cluster/src/cluster/gossip.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <set>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "cluster/identity.h"
+#include "cluster/membership.h"
+#include "cluster/messages.h"
+#include "cluster/observation_spread.h"
+#include "foundation/clock.h"
+
+namespace qp {
+
+/// What this daemon's digests announce besides members and observations.
+struct LocalNews {
+  AnnouncedVersions versions;
+  std::vector<ShortageEntry> shortages;
+};
+
+/// Sends digests to the neighbours and takes in those of peers. Remembers for
+/// each peer what it knows, so that an entry crosses a link about once, and
+/// keeps each digest within a share of the byte budget.
+class Gossip {
+ public:
+  static constexpr Duration kRoundInterval = std::chrono::milliseconds(500);
+  /// For regular digests to all neighbours, together. The bound for all
+  /// messages is 8 KB/s; the rest is for urgent news and configurations.
+  static constexpr std::size_t kBytesPerSecond = 6200;
+  /// For details that a peer does not know, per digest and beside the above,
+  /// so that a daemon which joins learns the members within seconds.
+  static constexpr std::size_t kDetailBytes = 4096;
+  /// A peer that was asked and has been silent for this time is skipped.
+  static constexpr Duration kAnswerTimeout = std::chrono::seconds(2);
+
+  Gossip(Membership& membership, ObservationSpread& observations,
+         std::vector<std::string> seeds, std::uint64_t random_seed);
+
+  void SetContacts(std::vector<std::string> addresses);
+
+  /// Sends a digest to each neighbour at the next Tick.
+  void RequestRound() { this->round_requested = true; }
+
+  void Tick(const LocalNews& news, TimePoint now, std::vector<Envelope>& out);
+
+  /// Takes in a digest. False if it is of an earlier incarnation.
+  bool OnDigest(const MessageHeader& header, const Digest& digest,
+                const LocalNews& news, TimePoint now,
+                std::vector<Envelope>& out);
+
+  /// Whether each known or configured peer has answered or has been silent
+  /// for kAnswerTimeout.
+  bool HasAskedAllPeers(TimePoint now) const;
+
+  std::size_t EstimateStateBytes() const;
+
+ private:
+  /// What a peer is known to have of a member.
+  struct KnownMember {
+    bool has_detail = false;
+    std::uint64_t incarnation = 0;
+    std::uint64_t configuration_version = 0;
+    std::uint32_t heartbeat = 0;
+    std::uint32_t urgent_revision = 0;
+    std::uint8_t repeats = 0;  ///< Times that urgent news is sent again.
+  };
+
+  /// What a peer is known to have of a backend server.
+  struct KnownObservation {
+    bool has_detail = false;
+    std::uint8_t detail_tag = 0;
+    std::uint8_t repeats = 0;
+    std::uint32_t counter = 0;
+    std::uint32_t urgent_revision = 0;
+  };
+
+  struct SentDigest {
+    std::uint32_t sequence = 0;
+    TimePoint at{};
+  };
+
+  struct Peer {
+    std::uint64_t incarnation = 0;  ///< 0 until heard.
+    std::uint32_t sequence = 0;     ///< Of the latest digest sent.
+    std::uint32_t received_sequence = 0;
+    std::array<SentDigest, 32> sent;
+    std::optional<TimePoint> first_asked;
+    TimePoint last_sent{};
+    TimePoint used_at{};
+    bool answered = false;
+    bool knows_self = false;
+    std::unordered_map<NameHash, KnownMember> members;
+    std::unordered_map<NameHash, KnownObservation> observations;
+    std::size_t observation_cursor = 0;
+    std::set<NameHash> unknown;    ///< Details to ask for.
+    std::set<NameHash> requested;  ///< Details that it asked for.
+    std::uint64_t urgent_seen = 0;
+    bool urgent_left = true;  ///< Urgent news is due or repeated.
+  };
+
+  enum class Scope { kRegular, kUrgent, kReply };
+
+  Peer& PeerOf(const std::string& address, TimePoint now);
+  void UpdateNeighbours(TimePoint now);
+  std::uint64_t UrgentTotal() const;
+  void SendRound(const LocalNews& news, TimePoint now,
+                 std::vector<Envelope>& out);
+  void SendUrgent(const LocalNews& news, TimePoint now,
+                  std::vector<Envelope>& out);
+  void AskUnanswered(const LocalNews& news, TimePoint now,
+                     std::vector<Envelope>& out);
+  void Probe(const LocalNews& news, TimePoint now, std::vector<Envelope>& out);
+  void SendDigest(const std::string& address, Scope scope,
+                  const LocalNews& news, TimePoint now,
+                  std::vector<Envelope>& out);
+  void FillRequested(Peer& peer, const LocalNews& news, TimePoint now,
+                     Digest& digest);
+  void FillMembers(Peer& peer, const std::string& address, Scope scope,
+                   const LocalNews& news, TimePoint now, Digest& digest);
+  void FillObservations(Peer& peer, std::size_t bytes, TimePoint now,
+                        Digest& digest);
+  void FillUrgentObservations(Peer& peer, TimePoint now, Digest& digest);
+  void AddObservation(Peer& peer, NameHash name,
+                      const ObservationRecord& record, TimePoint now,
+                      Digest& digest);
+  void TakeMembers(Peer& peer, const Digest& digest,
+                   std::optional<TimePoint> exchanged_at, TimePoint now);
+  void TakeObservations(Peer& peer, const Digest& digest, TimePoint now);
+  void TakeUnknown(Peer& peer, const Digest& digest);
+  std::vector<std::string> AddressesToAsk() const;
+  std::size_t DigestBytes() const;
+  bool IsFullMesh() const;
+
+  Membership& membership;
+  ObservationSpread& observations;
+  std::vector<std::string> seeds;
+  std::vector<std::string> contacts;
+  std::mt19937_64 random;
+  std::unordered_map<std::string, Peer> peers;
+  std::unordered_map<NameHash, TimePoint> neighbours;  ///< Since when.
+  std::uint64_t composition = 0;
+  std::uint32_t heartbeat = 0;
+  std::uint32_t first_sequence;
+  std::uint64_t rounds = 0;
+  std::optional<TimePoint> next_round;
+  bool round_requested = false;
+  bool asked_all = false;
+};
+
+}  // namespace qp
--- /dev/null
+++ b/packages/cluster/src/cluster/nng_link.cc
@@ -0,0 +1,338 @@
+#include "cluster/nng_link.h"
+
+#include <nng/nng.h>
+#include <nng/protocol/pipeline0/pull.h>
+#include <nng/protocol/pipeline0/push.h>
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "cluster/messages.h"
+
+namespace qp {
+
+namespace {
+
+// Frame: flags (1 byte), length of the address (1 byte), address, message.
+constexpr std::size_t kFrameHeader = 2;
+constexpr std::size_t kMaxAddress = 64;
+constexpr std::uint8_t kConnectAnew = 1;      ///< The sender does not hear us.
+constexpr nng_duration kReconnectMin = 100;   // milliseconds
+constexpr nng_duration kReconnectMax = 1000;  // milliseconds
+constexpr std::size_t kMaxFrame = kFrameHeader + kMaxAddress + kMaxMessageBytes;
+
+struct Frame {
+  std::uint8_t flags = 0;
+  std::string_view address;
+  std::string_view message;
+};
+
+std::optional<Frame> ReadFrame(std::string_view bytes) {
+  if (bytes.size() < kFrameHeader) {
+    return std::nullopt;
+  }
+  const auto length =
+      static_cast<std::size_t>(static_cast<unsigned char>(bytes[1]));
+  if (length > kMaxAddress || bytes.size() < kFrameHeader + length) {
+    return std::nullopt;
+  }
+  return Frame{static_cast<std::uint8_t>(bytes[0]),
+               bytes.substr(kFrameHeader, length),
+               bytes.substr(kFrameHeader + length)};
+}
+
+std::string WriteFrame(std::uint8_t flags, std::string_view address,
+                       std::string_view message) {
+  std::string frame;
+  frame.reserve(kFrameHeader + address.size() + message.size());
+  frame.push_back(static_cast<char>(flags));
+  frame.push_back(static_cast<char>(address.size()));
+  frame += address;
+  frame += message;
+  return frame;
+}
+
+Error NngError(std::string step, const std::string& address, int code) {
+  return {ErrorCode::kUnavailable, std::move(step), address,
+          nng_strerror(static_cast<int>(code))};
+}
+
+std::string UrlOf(std::string_view address) {
+  return "tcp://" + std::string(address);
+}
+
+/// Closes sockets on its own thread, since closing waits for nng's transport.
+class SocketCloser {
+ public:
+  SocketCloser() : thread([this] { this->Run(); }) {}
+
+  ~SocketCloser() {
+    {
+      std::lock_guard lock(this->mutex);
+      this->stopping = true;
+    }
+    this->changed.notify_one();
+    this->thread.join();
+  }
+
+  SocketCloser(const SocketCloser&) = delete;
+  SocketCloser& operator=(const SocketCloser&) = delete;
+
+  void Close(nng_socket socket) {
+    {
+      std::lock_guard lock(this->mutex);
+      this->sockets.push_back(socket);
+    }
+    this->changed.notify_one();
+  }
+
+ private:
+  void Run() {
+    std::unique_lock lock(this->mutex);
+    while (!this->stopping || !this->sockets.empty()) {
+      if (this->sockets.empty()) {
+        this->changed.wait(lock);
+        continue;
+      }
+      const nng_socket socket = this->sockets.back();
+      this->sockets.pop_back();
+      lock.unlock();
+      nng_close(socket);
+      lock.lock();
+    }
+  }
+
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::vector<nng_socket> sockets;
+  bool stopping = false;
+  std::thread thread;
+};
+
+/// Push socket that connects in the background. Empty if nng refuses.
+std::optional<nng_socket> Dial(std::string_view address) {
+  nng_socket socket = NNG_SOCKET_INITIALIZER;
+  if (nng_push0_open(&socket) != 0) {
+    return std::nullopt;
+  }
+  nng_socket_set_int(socket, NNG_OPT_SENDBUF, NngLink::kSendQueue);
+  nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, kReconnectMin);
+  nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, kReconnectMax);
+  if (nng_dial(socket, UrlOf(address).c_str(), nullptr, NNG_FLAG_NONBLOCK) !=
+      0) {
+    nng_close(socket);
+    return std::nullopt;
+  }
+  return socket;
+}
+
+}  // namespace
+
+struct NngLink::State {
+  /// Connection to one peer and what is known of its silence.
+  struct Peer {
+    nng_socket socket = NNG_SOCKET_INITIALIZER;
+    TimePoint connected_at{};
+    TimePoint heard_at{};  ///< Of the peer, or the first attempt to reach it.
+    TimePoint used_at{};
+  };
+
+  State(std::string own_address, const Clock& link_clock)
+      : address(std::move(own_address)), clock(link_clock) {}
+
+  ~State() {
+    if (this->receive != nullptr) {
+      nng_aio_stop(this->receive);
+      nng_aio_free(this->receive);
+    }
+    nng_close(this->pull);
+    for (const auto& [peer_address, peer] : this->peers) {
+      this->closer.Close(peer.socket);
+    }
+  }
+
+  State(const State&) = delete;
+  State& operator=(const State&) = delete;
+
+  int Listen() {
+    int code = nng_pull0_open(&this->pull);
+    if (code != 0) {
+      return code;
+    }
+    nng_socket_set_int(this->pull, NNG_OPT_RECVBUF, kReceiveQueue);
+    nng_socket_set_size(this->pull, NNG_OPT_RECVMAXSZ, kMaxFrame);
+    code = nng_listen(this->pull, UrlOf(this->address).c_str(), nullptr, 0);
+    if (code != 0) {
+      return code;
+    }
+    code = nng_aio_alloc(
+        &this->receive,
+        [](void* state) { static_cast<State*>(state)->OnReceived(); }, this);
+    if (code == 0) {
+      nng_recv_aio(this->pull, this->receive);
+    }
+    return code;
+  }
+
+  /// Runs on a thread of nng; the next receive starts when it ends.
+  void OnReceived() {
+    const int code = nng_aio_result(this->receive);
+    if (code == NNG_ECLOSED || code == NNG_ECANCELED) {
+      return;
+    }
+    if (code == 0) {
+      nng_msg* message = nng_aio_get_msg(this->receive);
+      this->Take({static_cast<const char*>(nng_msg_body(message)),
+                  nng_msg_len(message)});
+      nng_msg_free(message);
+    }
+    nng_recv_aio(this->pull, this->receive);
+  }
+
+  void Take(std::string_view bytes) {
+    const auto frame = ReadFrame(bytes);
+    {
+      std::lock_guard lock(this->mutex);
+      if (!frame) {
+        ++this->counters.malformed;
+        return;
+      }
+      ++this->counters.received;
+      this->OnHeard(*frame);
+    }
+    std::lock_guard lock(this->receiver_mutex);
+    if (this->receiver) {
+      this->receiver(frame->message);
+    }
+  }
+
+  void OnHeard(const Frame& frame) {
+    const auto found = this->peers.find(frame.address);
+    if (found == this->peers.end()) {
+      return;
+    }
+    Peer& peer = found->second;
+    const TimePoint now = this->clock.Now();
+    peer.heard_at = now;
+    if ((frame.flags & kConnectAnew) != 0 &&
+        now >= peer.connected_at + kSilentAfter) {
+      this->Reconnect(found->first, peer, now);
+    }
+  }
+
+  void Reconnect(const std::string& peer_address, Peer& peer, TimePoint now) {
+    const auto fresh = Dial(peer_address);
+    if (!fresh) {
+      return;
+    }
+    this->closer.Close(peer.socket);
+    peer.socket = *fresh;
+    peer.connected_at = now;
+    ++this->counters.reconnects;
+  }
+
+  /// Peer of `to`, connected; null if nng refuses.
+  Peer* Reach(std::string_view to, TimePoint now) {
+    const auto found = this->peers.find(to);
+    if (found != this->peers.end()) {
+      return &found->second;
+    }
+    const auto socket = Dial(to);
+    if (!socket) {
+      return nullptr;
+    }
+    Peer peer;
+    peer.socket = *socket;
+    peer.connected_at = now;
+    peer.heard_at = now;
+    return &this->peers.emplace(std::string(to), peer).first->second;
+  }
+
+  void Send(std::string_view to, std::string_view message) {
+    std::lock_guard lock(this->mutex);
+    const TimePoint now = this->clock.Now();
+    this->CloseIdle(now);
+    Peer* peer =
+        message.size() <= kMaxMessageBytes ? this->Reach(to, now) : nullptr;
+    if (peer == nullptr) {
+      ++this->counters.dropped;
+      return;
+    }
+    peer->used_at = now;
+    const bool silent = now >= peer->heard_at + kSilentAfter;
+    if (silent && now >= peer->connected_at + kSilentAfter) {
+      this->Reconnect(std::string(to), *peer, now);
+    }
+    std::string frame =
+        WriteFrame(silent ? kConnectAnew : 0, this->address, message);
+    const int code =
+        nng_send(peer->socket, frame.data(), frame.size(), NNG_FLAG_NONBLOCK);
+    ++(code == 0 ? this->counters.sent : this->counters.dropped);
+  }
+
+  void CloseIdle(TimePoint now) {
+    if (now < this->next_idle_check) {
+      return;
+    }
+    this->next_idle_check = now + kIdleAfter / 10;
+    std::erase_if(this->peers, [this, now](const auto& entry) {
+      const bool idle = now >= entry.second.used_at + kIdleAfter;
+      if (idle) {
+        this->closer.Close(entry.second.socket);
+      }
+      return idle;
+    });
+  }
+
+  std::string address;
+  const Clock& clock;
+  SocketCloser closer;
+  nng_socket pull = NNG_SOCKET_INITIALIZER;
+  nng_aio* receive = nullptr;
+  mutable std::mutex mutex;  ///< Of the peers and the counters.
+  std::map<std::string, Peer, std::less<>> peers;
+  TimePoint next_idle_check{};
+  NngLinkCounters counters;
+  std::mutex receiver_mutex;
+  Receiver receiver;
+};
+
+Result<std::unique_ptr<NngLink>> NngLink::Open(std::string address,
+                                               const Clock& clock) {
+  if (address.size() > kMaxAddress) {
+    return Error{ErrorCode::kInvalidArgument, "cluster.listen", address,
+                 "address too long"};
+  }
+  auto state = std::make_unique<State>(address, clock);
+  const int code = state->Listen();
+  if (code != 0) {
+    return NngError("cluster.listen", address, code);
+  }
+  return std::unique_ptr<NngLink>(new NngLink(std::move(state)));
+}
+
+NngLink::NngLink(std::unique_ptr<State> link_state)
+    : state(std::move(link_state)) {}
+
+NngLink::~NngLink() = default;
+
+void NngLink::Send(std::string_view address, std::string_view message) {
+  this->state->Send(address, message);
+}
+
+void NngLink::SetReceiver(Receiver receiver) {
+  std::lock_guard lock(this->state->receiver_mutex);
+  this->state->receiver = std::move(receiver);
+}
+
+NngLinkCounters NngLink::counters() const {
+  std::lock_guard lock(this->state->mutex);
+  return this->state->counters;
+}
+
+}  // namespace qp
--- /dev/null
+++ b/packages/cluster/src/cluster/observation_spread.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "cluster/messages.h"
+#include "cluster/observation.h"
+#include "foundation/clock.h"
+
+namespace qp {
+
+/// An observation and its position among all of the same backend server.
+struct ObservationRecord {
+  Observation value;
+  std::uint32_t counter = 0;
+  std::uint8_t detail_tag = 0;
+  std::uint32_t urgent_revision = 0;  ///< Changes with `leaving`.
+  std::optional<TimePoint> own_at;    ///< Latest observation made here.
+};
+
+/// Current observations, own and received, merged by newest. Order is decided
+/// by a counter for each backend server that its observers continue, so it
+/// depends on no clock.
+class ObservationSpread {
+ public:
+  /// A backend server that nobody observes any more is dropped.
+  static constexpr Duration kForgetAfter = std::chrono::seconds(60);
+
+  /// `floor` bounds the counter from below, so that an observer that has just
+  /// started is not behind; seconds of wall time.
+  void Publish(Observation observation, std::uint32_t floor);
+
+  /// Merges a received entry; `detail` is null if the digest has none for it.
+  /// False if the details are missing.
+  bool Merge(const ObservationEntry& entry, const BackendDetail* detail,
+             TimePoint now);
+
+  void Expire(TimePoint now);
+
+  static ObservationEntry EntryFor(NameHash backend,
+                                   const ObservationRecord& record,
+                                   TimePoint now);
+  static BackendDetail DetailFor(const ObservationRecord& record);
+
+  const std::unordered_map<NameHash, ObservationRecord>& records() const {
+    return this->backends;
+  }
+
+  /// Names in a fixed order, for reading in turns.
+  const std::vector<NameHash>& order() const { return this->names; }
+
+  /// Changes with each urgent_revision of a record.
+  std::uint64_t urgent_total() const { return this->urgent_changes; }
+
+  /// Ordered by name.
+  std::vector<Observation> Current() const;
+
+  std::size_t EstimateStateBytes() const;
+
+ private:
+  ObservationRecord& RecordOf(NameHash backend);
+  void MarkLeaving(ObservationRecord& record);
+
+  std::unordered_map<NameHash, ObservationRecord> backends;
+  std::vector<NameHash> names;
+  std::uint64_t urgent_changes = 0;
+};
+
+}  // namespace qp
--- /dev/null
+++ b/packages/cluster/src/cluster/version_agreement.cc
@@ -0,0 +1,16 @@
+#include "cluster/version_agreement.h"
+
+namespace qp {
+
+bool VersionAgreement::Update(std::size_t members, std::size_t knowing,
+                              TimePoint now) {
+  if (knowing >= members) {
+    return true;
+  }
+  if (!this->half_at && 2 * knowing >= members) {
+    this->half_at = now;
+  }
+  return this->half_at && now >= *this->half_at + kWait;
+}
+
+}  // namespace qp
--- /dev/null
+++ b/packages/cluster/src/cluster/version_agreement.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+
+#include "foundation/clock.h"
+#include "policy/budget_ledger.h"
+
+namespace qp {
+
+/// Decides when no daemon can still act on what preceded a version. Daemons
+/// that don't know the version count as confirmed only while they read the
+/// table (and thereby learn of it) or hear more than half of the members, none
+/// of which knows it. Once at least half of the members know the version,
+/// every daemon that doesn't stops within the confirmation period.
+class VersionAgreement {
+ public:
+  static constexpr Duration kWait = policy::BudgetLedger::kWaitBeforeUse;
+
+  /// Takes in that `knowing` of `members` know the version. True from when
+  /// all know it, or kWait after half of them did.
+  bool Update(std::size_t members, std::size_t knowing, TimePoint now);
+
+ private:
+  std::optional<TimePoint> half_at;
+};
+
+}  // namespace qp
--- a/packages/policy/src/policy/budget_ledger.h
+++ b/packages/policy/src/policy/budget_ledger.h
@@ -72,8 +72,9 @@
 
   /// Uses the adopted generation from now on. `others_stopped` states that no
   /// daemon can still use the old one without knowing the new one. Does
-  /// nothing before kWaitBeforeUse has passed since Adopt, except for the
-  /// very first generation, before which there were no shares.
+  /// nothing before kWaitBeforeUse has passed since Adopt. Two cases need no
+  /// wait: the very first generation, before which there were no shares, and
+  /// a new daemon without an initial share.
   bool Activate(bool others_stopped, TimePoint now);
 
   /// Number of the adopted or, if none waits, of the active generation.
@@ -116,12 +117,14 @@
 
   MicroUnits& ShareOf(std::string_view class_name);
   MicroUnits ActiveUnits(std::string_view class_name) const;
+  std::uint64_t SettledBelow(const BudgetMember& receiver) const;
   static MicroUnits InitialUnits(const BudgetGeneration& generation,
                                  const BudgetMember& member);
 
   BudgetMember self;
   BudgetGeneration active;
   std::optional<BudgetGeneration> next;
+  MicroUnits waiting_limit = 0;  ///< Lowest initial share while waiting.
   TimePoint adopted_at{};
   std::uint64_t last_number = 0;
   /// Classes not listed have the initial share. Kept for the generation even
