Test calls and grouped writes against random faults

Cause: the request life cycle, the claims and grouped writes had no tests. Change: fakes of engines, table and service; unit and property tests, each property with broken variants that the same check must report.

--- /dev/null
+++ b/packages/calls/tests/calls/claim_world.h
@@ -0,0 +1,389 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "calls/choices.h"
+#include "calls/deployment.h"
+#include "calls/once_plain_service.h"
+#include "foundation/wait.h"
+#include "platform/grouped_table.h"
+#include "testing/test_runtime.h"
+
+namespace qp::testing {
+
+/// How a part outside the daemon breaks its contract in the counter-proofs.
+enum class WorldMutation {
+  kNone,
+  kIgnoresConditions,  ///< The table applies writes against their condition.
+  kForgesNonce,        ///< Reading back shows the reader's own nonce.
+  kOutAfterWrite,      ///< The table says nothing was written when it was.
+  kRefusesAfterRun,    ///< The service refuses a call that it has run.
+  kClockStopsInPause,  ///< A paused daemon's clock does not go on.
+};
+
+enum class TableFate {
+  kApply,
+  kUnavailable,
+  kLoseRequest,
+  kLoseAnswer,
+  kLateWrite,  ///< The write takes effect after its error was reported.
+  kSlowAnswer,
+};
+inline constexpr std::uint32_t kTableFates = 6;
+
+enum class ServiceFate {
+  kAnswer,
+  kRefuse,
+  kNotSent,
+  kLoseAnswer,
+  kLoseRequest,
+  kSlowAnswer,
+};
+inline constexpr std::uint32_t kServiceFates = 6;
+
+/// Items of the table service, shared by all daemons.
+class TableStore {
+ public:
+  explicit TableStore(bool ignore) : ignores_conditions(ignore) {}
+
+  std::vector<OperationResult> Apply(
+      const std::vector<TableOperation>& operations) {
+    std::vector<OperationResult> results;
+    results.reserve(operations.size());
+    for (const auto& operation : operations) {
+      results.push_back(this->ApplyOne(operation));
+    }
+    return results;
+  }
+
+  std::optional<TableItem> Find(const std::string& key) const {
+    const auto found = this->items.find(key);
+    return found == this->items.end() ? std::nullopt
+                                      : std::optional(found->second);
+  }
+
+ private:
+  bool Holds(const TableOperation& operation) const {
+    const auto item = this->Find(operation.key);
+    if (std::holds_alternative<IfAbsent>(operation.condition)) {
+      return !item;
+    }
+    if (const auto* same = std::get_if<IfVersion>(&operation.condition)) {
+      return item && item->version == same->version;
+    }
+    if (const auto* field = std::get_if<IfField>(&operation.condition)) {
+      return item ? item->value.value(field->field, nlohmann::json()) ==
+                        field->value
+                  : field->or_absent;
+    }
+    return true;
+  }
+
+  OperationResult ApplyOne(const TableOperation& operation) {
+    if (!this->ignores_conditions && !this->Holds(operation)) {
+      const auto item = this->Find(operation.key);
+      return {false, item ? item->version : 0};
+    }
+    auto& item = this->items[operation.key];
+    item.key = operation.key;
+    item.value = *operation.put;
+    ++item.version;
+    return {true, item.version};
+  }
+
+  bool ignores_conditions;
+  std::map<std::string, TableItem> items;
+};
+
+/// What all daemons share, and the choices that drive one run.
+struct WorldState {
+  WorldState(const Choices& choices, WorldMutation broken)
+      : reader(choices),
+        mutation(broken),
+        store(broken == WorldMutation::kIgnoresConditions) {}
+
+  std::uint32_t Draw(std::uint32_t bound) {
+    return this->faults_over ? 0 : this->reader.Next(bound);
+  }
+
+  ChoiceReader reader;
+  WorldMutation mutation;
+  TableStore store;
+  TestRuntime runtime;
+  bool faults_over = false;
+
+  std::map<std::string, int> runs_by_request;
+  std::map<std::string, int> runs_by_key;
+  std::map<std::string, TimePoint> deadlines;  ///< By request id.
+  std::size_t unresolved_sends = 0;            ///< Calls whose answer was lost.
+  Violation violation;
+};
+
+/// A daemon's clock; with kClockStopsInPause it omits the daemon's pauses.
+class DaemonClock : public Clock {
+ public:
+  explicit DaemonClock(Clock& time) : inner(time) {}
+
+  TimePoint Now() const override { return this->inner.Now() - this->omitted; }
+  WallMillis WallNow() const override { return this->inner.WallNow(); }
+  TimerId Schedule(TimePoint at, std::function<void()> callback) override {
+    return this->inner.Schedule(at + this->omitted, std::move(callback));
+  }
+  void Cancel(TimerId id) override { this->inner.Cancel(id); }
+
+  Duration omitted{0};
+
+ private:
+  Clock& inner;
+};
+
+/// One daemon's connection to the table service.
+class DaemonTable : public Table {
+ public:
+  DaemonTable(WorldState& shared, Clock& time) : world(shared), clock(time) {}
+
+  Task<Result<std::optional<TableItem>>> Read(std::string key) override {
+    co_await SleepFor(this->clock, std::chrono::milliseconds(1));
+    if (this->world.Draw(6) == 1) {
+      co_return Error{ErrorCode::kUnavailable, "table.read", "", ""};
+    }
+    auto item = this->world.store.Find(key);
+    if (item && this->world.mutation == WorldMutation::kForgesNonce) {
+      item->value["nonce"] = this->latest_nonce;
+    }
+    co_return item;
+  }
+
+  Task<Result<std::vector<TableItem>>> Scan(std::string) override {
+    co_return Error{ErrorCode::kInternal, "table.scan", "", "not used"};
+  }
+
+  Task<Result<std::vector<OperationResult>>> Transact(
+      TransactMode, std::vector<TableOperation> operations) override {
+    this->latest_nonce = operations.front().put->at("nonce").get<std::string>();
+    const auto fate = static_cast<TableFate>(this->world.Draw(kTableFates));
+    const auto delay = std::chrono::milliseconds(
+        1 + (fate >= TableFate::kLateWrite ? this->world.Draw(1500) : 0));
+    const Error lost{ErrorCode::kUnknownEffect, "table.transact", "", ""};
+    const Error out{ErrorCode::kUnavailable, "table.transact", "", ""};
+    if (fate == TableFate::kUnavailable) {
+      if (this->world.mutation == WorldMutation::kOutAfterWrite) {
+        this->world.store.Apply(operations);
+      }
+      co_return out;
+    }
+    if (fate == TableFate::kLateWrite) {
+      this->ApplyLater(std::move(operations), delay);
+      co_await SleepFor(this->clock, std::chrono::milliseconds(5));
+      co_return lost;
+    }
+    if (fate == TableFate::kLoseRequest) {
+      co_await SleepFor(this->clock, std::chrono::milliseconds(5));
+      co_return lost;
+    }
+    auto results = this->world.store.Apply(operations);
+    co_await SleepFor(this->clock, delay);
+    if (fate == TableFate::kLoseAnswer) {
+      co_return lost;
+    }
+    co_return results;
+  }
+
+ private:
+  /// The network does not pause with the daemon.
+  void ApplyLater(std::vector<TableOperation> operations, Duration delay) {
+    auto* shared = &this->world;
+    auto apply = [shared, operations = std::move(operations)] {
+      shared->store.Apply(operations);
+    };
+    auto& now = shared->runtime.clock();
+    now.Schedule(now.Now() + delay, std::move(apply));
+  }
+
+  WorldState& world;
+  Clock& clock;
+  std::string latest_nonce;
+};
+
+/// Servers of the plain service, as one daemon reaches them.
+class FakeServices : public ServiceClient {
+ public:
+  FakeServices(WorldState& shared, Clock& time) : world(shared), clock(time) {}
+
+  Task<Result<ServiceReply>> Call(std::string, ServiceCall call,
+                                  Duration) override {
+    if (this->world.runtime.clock().Now() >
+        this->world.deadlines[call.request_id]) {
+      this->world.violation = "a call was sent after its deadline";
+    }
+    const auto fate = static_cast<ServiceFate>(this->world.Draw(kServiceFates));
+    const Error lost{ErrorCode::kUnknownEffect, "service.call", "", ""};
+    if (fate == ServiceFate::kRefuse) {
+      if (this->world.mutation == WorldMutation::kRefusesAfterRun) {
+        this->RunCall(call);
+      }
+      co_return Error{ErrorCode::kRefused, "service.call", "", "503"};
+    }
+    if (fate == ServiceFate::kNotSent) {
+      co_return Error{ErrorCode::kUnavailable, "service.call", "", ""};
+    }
+    if (fate == ServiceFate::kLoseRequest) {
+      ++this->world.unresolved_sends;
+      co_return lost;
+    }
+    ServiceReply reply = this->RunCall(call);
+    const Duration delay = fate == ServiceFate::kSlowAnswer
+                               ? std::chrono::milliseconds(300)
+                               : std::chrono::milliseconds(2);
+    co_await SleepFor(this->clock, delay);
+    if (fate == ServiceFate::kLoseAnswer) {
+      ++this->world.unresolved_sends;
+      co_return lost;
+    }
+    co_return reply;
+  }
+
+ private:
+  ServiceReply RunCall(const ServiceCall& call) {
+    ++this->world.runs_by_request[call.request_id];
+    const int runs = ++this->world.runs_by_key[call.idempotency_key];
+    return {200, "run " + std::to_string(runs) + " of " + call.body};
+  }
+
+  WorldState& world;
+  Clock& clock;
+};
+
+/// One daemon with its own thread of execution, which can pause or die.
+class Daemon {
+ public:
+  Daemon(WorldState& shared, asio::io_context& context, std::uint64_t seed)
+      : world(shared),
+        io(context),
+        clock(shared.runtime.clock()),
+        table(shared, clock),
+        grouped(clock, table),
+        services(shared, clock),
+        deployment(clock.Now()),
+        service(clock, deployment.blackboard, grouped, services,
+                deployment.admission, deployment.servers, deployment.retries,
+                deployment.events, seed) {}
+
+  void Pause(Duration duration) {
+    const auto now = this->world.runtime.clock().Now();
+    this->paused_until = now + duration;
+    if (this->world.mutation == WorldMutation::kClockStopsInPause) {
+      this->clock.omitted += duration;
+    }
+  }
+
+  bool paused() const {
+    return this->world.runtime.clock().Now() < this->paused_until;
+  }
+
+  bool Poll() {
+    if (this->dead || this->paused()) {
+      return false;
+    }
+    this->io.restart();
+    return this->io.poll() > 0;
+  }
+
+  WorldState& world;
+  asio::io_context& io;
+  DaemonClock clock;
+  DaemonTable table;
+  GroupedTable grouped;
+  FakeServices services;
+  Deployment deployment;
+  OncePlainService service;
+  TimePoint paused_until{};
+  bool dead = false;
+};
+
+/// Daemons in front of one table and one service.
+class ClaimWorld {
+ public:
+  ClaimWorld(const Choices& choices, WorldMutation mutation, std::size_t count)
+      : contexts(count), state(choices, mutation) {
+    for (std::size_t i = 0; i < count; ++i) {
+      this->daemons.push_back(
+          std::make_unique<Daemon>(this->state, this->contexts[i], 100 + i));
+    }
+  }
+
+  /// Hands a request to a daemon, which accepts it once it is not paused; the
+  /// response appears under the request's id.
+  void Start(std::size_t daemon, ServiceRequest request) {
+    auto& at = *this->daemons[daemon];
+    asio::co_spawn(at.io, this->Accept(at, std::move(request)), asio::detached);
+  }
+
+  void Advance(Duration duration,
+               Duration step = std::chrono::milliseconds(1)) {
+    for (Duration passed{0}; passed < duration; passed += step) {
+      this->Settle();
+      this->state.runtime.Advance(step, step);
+    }
+    this->Settle();
+  }
+
+  std::size_t unsettled() const {
+    std::size_t count = 0;
+    for (const auto& daemon : this->daemons) {
+      count += daemon->dead ? 0 : daemon->service.unsettled_claims();
+    }
+    return count;
+  }
+
+ private:
+  // Pending timers of the clock refer to the contexts, so these go last.
+  std::deque<asio::io_context> contexts;
+
+ public:
+  WorldState state;
+  std::vector<std::unique_ptr<Daemon>> daemons;
+  std::map<std::string, ServiceResponse> responses;
+
+ private:
+  /// A deadline is the time left when the daemon accepts the request.
+  Task<void> Accept(Daemon& daemon, ServiceRequest request) {
+    const std::string id = request.request_id;
+    this->state.deadlines[id] =
+        this->state.runtime.clock().Now() + request.deadline;
+    ServiceResponse response = co_await daemon.service.Run(std::move(request));
+    this->responses[id] = std::move(response);
+  }
+
+  void Settle() {
+    bool progress = true;
+    while (progress) {
+      this->state.runtime.Settle();
+      progress = false;
+      for (const auto& daemon : this->daemons) {
+        progress = daemon->Poll() || progress;
+      }
+    }
+  }
+};
+
+inline ServiceRequest MakeServiceRequest(std::string id, std::string operation,
+                                         std::string key, Duration deadline) {
+  ServiceRequest request;
+  request.request_id = std::move(id);
+  request.workspace = "w";
+  request.service = "desk";
+  request.operation = std::move(operation);
+  request.idempotency_key = std::move(key);
+  request.body = R"({"item":"mirror"})";
+  request.deadline = deadline;
+  return request;
+}
+
+}  // namespace qp::testing
--- /dev/null
+++ b/packages/calls/tests/calls/pipeline_chat_service_test.cc
@@ -0,0 +1,225 @@
+#include "calls/pipeline_chat_service.h"
+
+#include <catch2/catch.hpp>
+
+#include "calls/fake_engines.h"
+#include "testing/test_runtime.h"
+
+using namespace std::chrono_literals;
+using qp::ErrorCode;
+using qp::Outcome;
+using qp::testing::EngineMutation;
+using qp::testing::StreamStep;
+
+namespace {
+
+/// One daemon, its engines and one caller.
+struct Scene {
+  explicit Scene(const qp::testing::Choices& choices = {},
+                 EngineMutation mutation = EngineMutation::kNone)
+      : deployment(runtime.clock().Now()),
+        reader(choices),
+        engines(runtime.clock(), runtime.io(), sink, reader, mutation),
+        service(runtime.clock(), deployment.blackboard, engines,
+                deployment.admission, deployment.chains, deployment.retries,
+                deployment.events, 7) {}
+
+  std::optional<qp::CallResult> Ask(qp::Duration deadline = 20s,
+                                    qp::Duration bound = 30s) {
+    qp::ChatRequest request;
+    request.request_id = "r1";
+    request.workspace = "w";
+    request.class_name = "chat";
+    request.prompt = "prompt";
+    request.max_tokens = 8;
+    request.deadline = deadline;
+    auto task = this->service.Run(std::move(request), this->sink);
+    return this->runtime.RunFor(std::move(task), bound);
+  }
+
+  qp::testing::TestRuntime runtime;
+  qp::testing::Deployment deployment;
+  qp::testing::CollectingSink sink;
+  qp::testing::ChoiceReader reader;
+  qp::testing::FakeEngines engines;
+  qp::PipelineChatService service;
+};
+
+std::vector<std::string> Tokens(std::size_t count) {
+  std::vector<std::string> tokens;
+  for (std::size_t i = 0; i < count; ++i) {
+    tokens.push_back("t" + std::to_string(i));
+  }
+  return tokens;
+}
+
+qp::testing::Violation CheckAnswer(EngineMutation mutation,
+                                   const qp::testing::Choices& choices) {
+  Scene scene(choices, mutation);
+  const auto start = scene.runtime.clock().Now();
+  const auto result = scene.Ask();
+  if (!result) {
+    return "the call has no outcome";
+  }
+  if (scene.engines.violation) {
+    return scene.engines.violation;
+  }
+  const auto& delivered = scene.sink.tokens;
+  if (delivered != Tokens(delivered.size())) {
+    return "the answer holds a foreign, late, repeated or missing token";
+  }
+  const bool whole = delivered.size() == scene.engines.answer_length;
+  if (result->outcome == Outcome::kComplete && !whole) {
+    return "a cut answer was called complete";
+  }
+  if (result->outcome == Outcome::kNotRun && scene.engines.started) {
+    return "a started request was called not run";
+  }
+  if (scene.engines.live_streams > 0) {
+    return "a stream was left open";
+  }
+  if (scene.runtime.clock().Now() - start > 20s) {
+    return "the outcome came after the deadline";
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+TEST_CASE("A question without faults is answered completely", "[chat]") {
+  Scene scene;
+  const auto result = scene.Ask();
+  REQUIRE(result);
+  CHECK(result->outcome == Outcome::kComplete);
+  CHECK(scene.sink.tokens == Tokens(6));
+  CHECK(scene.engines.opened.size() == 1);
+}
+
+TEST_CASE("A question is refused at the door as not run", "[chat]") {
+  Scene scene;
+
+  SECTION("without a configuration") { scene.deployment.RemoveConfiguration(); }
+  SECTION("without a chain") { scene.deployment.RemoveBackends(); }
+  SECTION("by admission") {
+    qp::BudgetsView none;
+    none.shares["chat"] = {};
+    const auto view = scene.deployment.blackboard.configuration.Read();
+    scene.deployment.admission.Update(*view->value.configuration, none,
+                                      scene.runtime.clock().Now());
+  }
+  const auto result = scene.Ask();
+  REQUIRE(result);
+  CHECK(result->outcome == Outcome::kNotRun);
+  CHECK(result->retry_after.has_value());
+  CHECK(scene.engines.opened.empty());
+}
+
+TEST_CASE("A failed stage is left out and the answer goes on", "[chat]") {
+  Scene scene;
+  scene.engines.scripted = {StreamStep::kNext, StreamStep::kNext};
+
+  SECTION("a dead stage's cache is rebuilt") {
+    scene.engines.scripted.push_back(StreamStep::kStageFails);
+    const auto result = scene.Ask();
+    REQUIRE(result);
+    CHECK(result->outcome == Outcome::kComplete);
+    for (const auto& transfer : scene.engines.transfers) {
+      CHECK(transfer.from.engine !=
+            scene.engines.opened[0].route.back().engine);
+    }
+  }
+  SECTION("a refusing stage's cache is imported by its replacement") {
+    scene.engines.scripted.push_back(StreamStep::kStageRefuses);
+    const auto result = scene.Ask();
+    REQUIRE(result);
+    CHECK(result->outcome == Outcome::kComplete);
+    REQUIRE_FALSE(scene.engines.transfers.empty());
+    const auto& transfer = scene.engines.transfers.back();
+    CHECK(transfer.from.engine == scene.engines.opened[0].route.back().engine);
+    CHECK(transfer.to.first_layer == transfer.from.first_layer);
+    CHECK(transfer.to.last_layer == transfer.from.last_layer);
+  }
+  CHECK(scene.sink.tokens == Tokens(6));
+  REQUIRE(scene.engines.opened.size() == 2);
+  CHECK(scene.engines.opened[1].tokens == Tokens(2));
+  CHECK_FALSE(scene.engines.violation);
+}
+
+TEST_CASE("A silent stream is replaced within the target for resumption",
+          "[chat]") {
+  Scene scene;
+  scene.engines.scripted = {StreamStep::kNext, StreamStep::kSilent};
+  const auto result = scene.Ask(20s, 1s);
+  REQUIRE(result);
+  CHECK(result->outcome == Outcome::kComplete);
+  CHECK(scene.sink.tokens == Tokens(6));
+}
+
+TEST_CASE("Giving up says truthfully whether the question started", "[chat]") {
+  Scene scene;
+  while (scene.deployment.retries.TryTake()) {
+  }
+
+  SECTION("after a token the outcome is unknown, at once") {
+    scene.engines.scripted = {StreamStep::kNext, StreamStep::kCut};
+    const auto result = scene.Ask(20s, 100ms);
+    REQUIRE(result);
+    CHECK(result->outcome == Outcome::kUnknown);
+    CHECK(result->retry_after.has_value());
+  }
+  SECTION("before anything was sent it is not run") {
+    Scene refused({1});
+    while (refused.deployment.retries.TryTake()) {
+    }
+    // The first try adds a tenth of a retry, which is not enough for one.
+    const auto result = refused.Ask(20s, 100ms);
+    REQUIRE(result);
+    CHECK(result->outcome == Outcome::kNotRun);
+    CHECK(result->retry_after.has_value());
+  }
+}
+
+TEST_CASE("Engines stop soon after the caller is gone", "[chat]") {
+  Scene scene;
+  scene.engines.scripted = {StreamStep::kNext, StreamStep::kSilent};
+  scene.runtime.clock().Schedule(scene.runtime.clock().Now() + 50ms,
+                                 [&] { scene.sink.gone = true; });
+  const auto result = scene.Ask(20s, 250ms);
+  REQUIRE(result);
+  CHECK(result->outcome == Outcome::kUnknown);
+  CHECK(result->error->code == ErrorCode::kCancelled);
+  CHECK(scene.engines.live_streams == 0);
+  CHECK(scene.engines.opened.size() == 1);
+}
+
+TEST_CASE("No answer is given after the deadline", "[chat]") {
+  Scene scene;
+  scene.engines.scripted = {StreamStep::kNext, StreamStep::kSilent};
+  const auto result = scene.Ask(200ms, 201ms);
+  REQUIRE(result);
+  CHECK(result->outcome == Outcome::kUnknown);
+}
+
+TEST_CASE("Answers are whole and outcomes true for any faults of engines",
+          "[chat][property]") {
+  CHECK(qp::testing::HoldsForAll(
+      "answers are whole and outcomes true", [](const auto& choices) {
+        return CheckAnswer(EngineMutation::kNone, choices);
+      }));
+}
+
+TEST_CASE("The check on answers reports each broken engine protocol",
+          "[chat][counter-proof]") {
+  const auto mutation =
+      GENERATE(EngineMutation::kLateAsCurrent, EngineMutation::kCrossedAsOwn,
+               EngineMutation::kSkipsPosition, EngineMutation::kPartialAsFull,
+               EngineMutation::kFinishesTooEarly);
+  const auto violation = qp::testing::FindViolation(
+      [&](const auto& choices) { return CheckAnswer(mutation, choices); });
+  CAPTURE(static_cast<int>(mutation), violation.value_or("none"));
+  CHECK(violation.has_value());
+  // The same search must not report the unbroken variant.
+  CHECK_FALSE(qp::testing::FindViolation([](const auto& choices) {
+    return CheckAnswer(EngineMutation::kNone, choices);
+  }));
+}
--- /dev/null
+++ b/packages/calls/tests/calls/token_sequence_test.cc
@@ -0,0 +1,169 @@
+#include "calls/token_sequence.h"
+
+#include <catch2/catch.hpp>
+
+#include "calls/choices.h"
+
+using qp::RecordVerdict;
+using qp::TokenRecord;
+using qp::TokenSequence;
+
+namespace {
+
+constexpr std::uint32_t kLayers = 8;
+
+TokenRecord MakeRecord(std::uint32_t attempt, std::uint64_t position) {
+  return {"r1", attempt,    position, "t" + std::to_string(position),
+          0,    kLayers - 1};
+}
+
+/// Which check a broken variant leaves out.
+enum class LeftOut { kNothing, kRequest, kAttempt, kPosition, kLayers };
+
+/// A sequence that does not see what its variant leaves out.
+class VariantSequence {
+ public:
+  explicit VariantSequence(LeftOut check) : left_out(check) {}
+
+  void StartAttempt() { this->sequence.StartAttempt(); }
+
+  void Take(TokenRecord record) {
+    const auto next = this->sequence.tokens().size();
+    if (this->left_out == LeftOut::kRequest) {
+      record.request = "r1";
+    }
+    if (this->left_out == LeftOut::kAttempt) {
+      record.attempt = this->sequence.current_attempt();
+    }
+    if (this->left_out == LeftOut::kPosition) {
+      record.position = next;
+    }
+    if (this->left_out == LeftOut::kLayers) {
+      record.first_layer = 0;
+      record.last_layer = kLayers - 1;
+    }
+    this->sequence.Take(record);
+  }
+
+  const std::vector<std::string>& tokens() const {
+    return this->sequence.tokens();
+  }
+
+ private:
+  LeftOut left_out;
+  TokenSequence sequence{"r1", kLayers};
+};
+
+/// A record that may be crossed, late, duplicated, out of order or partial.
+/// Only the right one carries the token "t<position>".
+TokenRecord DrawRecord(qp::testing::ChoiceReader& reader, std::uint32_t attempt,
+                       std::uint64_t next) {
+  TokenRecord record = MakeRecord(attempt, next);
+  switch (reader.Next(6)) {
+    case 1:
+      record.request = "r2";
+      record.token = "crossed";
+      break;
+    case 2:
+      record.attempt = attempt - 1;
+      record.token = "late";
+      break;
+    case 3:
+      record.position = next == 0 ? 0 : next - 1;
+      record.token = "t" + std::to_string(record.position);
+      break;
+    case 4:
+      record.position = next + 1;
+      record.token = "t" + std::to_string(record.position);
+      break;
+    case 5:
+      record.last_layer = kLayers / 2;
+      record.token = "partial";
+      break;
+    default:
+      break;
+  }
+  return record;
+}
+
+qp::testing::Violation CheckAnswer(LeftOut left_out,
+                                   const qp::testing::Choices& choices) {
+  qp::testing::ChoiceReader reader(choices);
+  VariantSequence sequence(left_out);
+  std::uint32_t attempt = 0;
+  for (std::size_t step = 0; step < choices.size(); ++step) {
+    if (step == 0 || reader.Next(8) == 1) {
+      sequence.StartAttempt();
+      ++attempt;
+    }
+    sequence.Take(DrawRecord(reader, attempt, sequence.tokens().size()));
+  }
+  for (std::size_t i = 0; i < sequence.tokens().size(); ++i) {
+    if (sequence.tokens()[i] != "t" + std::to_string(i)) {
+      return "position " + std::to_string(i) + " has token " +
+             sequence.tokens()[i];
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+TEST_CASE("A sequence names why a record is not the next token", "[tokens]") {
+  TokenSequence sequence("r1", kLayers);
+  sequence.StartAttempt();
+  REQUIRE(sequence.Take(MakeRecord(1, 0)) == RecordVerdict::kNext);
+
+  SECTION("the next position is used") {
+    CHECK(sequence.Take(MakeRecord(1, 1)) == RecordVerdict::kNext);
+    CHECK(sequence.tokens() == std::vector<std::string>{"t0", "t1"});
+    CHECK(sequence.dropped() == 0);
+  }
+  SECTION("a duplicate is dropped") {
+    CHECK(sequence.Take(MakeRecord(1, 0)) == RecordVerdict::kUsedPosition);
+    CHECK(sequence.dropped() == 1);
+  }
+  SECTION("a skipped position is a gap") {
+    CHECK(sequence.Take(MakeRecord(1, 2)) == RecordVerdict::kGap);
+  }
+  SECTION("a record of the former attempt is dropped after a new one began") {
+    sequence.StartAttempt();
+    CHECK(sequence.Take(MakeRecord(1, 1)) == RecordVerdict::kOtherAttempt);
+    CHECK(sequence.Take(MakeRecord(2, 1)) == RecordVerdict::kNext);
+  }
+  SECTION("a record of another request is dropped") {
+    auto record = MakeRecord(1, 1);
+    record.request = "r2";
+    CHECK(sequence.Take(record) == RecordVerdict::kOtherRequest);
+  }
+  SECTION("a token that skipped a layer is not used") {
+    auto record = MakeRecord(1, 1);
+    record.first_layer = 1;
+    CHECK(sequence.Take(record) == RecordVerdict::kWrongLayers);
+    record.first_layer = 0;
+    record.last_layer = kLayers - 2;
+    CHECK(sequence.Take(record) == RecordVerdict::kWrongLayers);
+  }
+}
+
+TEST_CASE("An answer holds each token once and in order for any records",
+          "[tokens][property]") {
+  CHECK(qp::testing::HoldsForAll(
+      "each token once and in order", [](const auto& choices) {
+        return CheckAnswer(LeftOut::kNothing, choices);
+      }));
+}
+
+TEST_CASE("The check on answers reports each left-out comparison",
+          "[tokens][counter-proof]") {
+  const auto left_out = GENERATE(LeftOut::kRequest, LeftOut::kAttempt,
+                                 LeftOut::kPosition, LeftOut::kLayers);
+  const auto violation = qp::testing::FindViolation(
+      [&](const auto& choices) { return CheckAnswer(left_out, choices); });
+  CAPTURE(static_cast<int>(left_out), violation.value_or("none"));
+  CHECK(violation.has_value());
+  // The same search must not report the unbroken variant.
+  CHECK_FALSE(qp::testing::FindViolation([](const auto& choices) {
+    return CheckAnswer(LeftOut::kNothing, choices);
+  }));
+}
