Add the daemon: controllers, operators' service and wiring

Cause: the packages had no process that joins them. Ruled out: one CAF actor per controller that does I/O (each exchange would hop between threads); they are coroutines on the request thread with CAF's clock, and the cluster node runs in an actor.

--- /dev/null
+++ b/packages/apps/quetzalpostd/main.cc
@@ -0,0 +1,160 @@
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <caf/actor_system.hpp>
+#include <caf/actor_system_config.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <random>
+#include <sstream>
+
+#include "config/daemon_settings.h"
+#include "daemon/daemon.h"
+#include "foundation/asio.h"
+#include "foundation/caf_clock.h"
+#include "foundation/event.h"
+
+namespace {
+
+constexpr int kExitUsage = 2;
+constexpr int kExitStart = 3;
+constexpr const char* kVersion = "0.1.0";
+
+cxxopts::Options MakeOptions() {
+  cxxopts::Options options("quetzalpostd",
+                           "Routes requests to model pipelines and services.");
+  options.add_options()("settings", "JSON file with the settings",
+                        cxxopts::value<std::string>())(
+      "check-settings", "Check the settings and exit")(
+      "list-events", "Print the catalogue of events as Markdown and exit")(
+      "version", "Print the version and exit")("help", "Print this help");
+  return options;
+}
+
+std::optional<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    return std::nullopt;
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::optional<qp::DaemonSettings> LoadSettings(const std::string& path) {
+  const auto text = ReadFile(path);
+  if (!text) {
+    std::cerr << "quetzalpostd: cannot read " << path << "\n";
+    return std::nullopt;
+  }
+  auto settings = qp::ParseDaemonSettings(*text);
+  if (!settings) {
+    std::cerr << "quetzalpostd: " << path << ":\n" << settings.error().detail;
+    return std::nullopt;
+  }
+  return std::move(settings).value();
+}
+
+log4cplus::LogLevel LevelOf(const std::string& name) {
+  if (name == "debug") {
+    return log4cplus::DEBUG_LOG_LEVEL;
+  }
+  if (name == "warning") {
+    return log4cplus::WARN_LOG_LEVEL;
+  }
+  return name == "error" ? log4cplus::ERROR_LOG_LEVEL
+                         : log4cplus::INFO_LOG_LEVEL;
+}
+
+void ConfigureLogging(const qp::DaemonSettings& settings) {
+  const bool json = settings.log_format == "json";
+  log4cplus::SharedAppenderPtr appender(
+      new log4cplus::ConsoleAppender(true, true));
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
+      json ? "%m%n" : "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %m%n"));
+  auto root = log4cplus::Logger::getRoot();
+  root.addAppender(appender);
+  root.setLogLevel(LevelOf(settings.log_level));
+}
+
+std::uint64_t RandomSeed() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32) | device();
+}
+
+int ReportStartFailure(const qp::Error& error) {
+  std::cerr << "quetzalpostd: " << ToString(error) << "\n";
+  return kExitStart;
+}
+
+int Run(qp::DaemonSettings settings) {
+  caf::actor_system_config config;
+  // Controllers need little; the request thread is not one of these.
+  config.set("scheduler.max-threads", 2);
+  caf::actor_system actors(config);
+  qp::CafClock clock(actors);
+  qp::asio::io_context io(1);
+  auto daemon =
+      qp::Daemon::Create(std::move(settings), io, actors, clock, RandomSeed());
+  if (!daemon) {
+    return ReportStartFailure(daemon.error());
+  }
+  const auto started = daemon.value()->Start();
+  if (!started) {
+    return ReportStartFailure(started.error());
+  }
+  qp::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&daemon](boost::system::error_code failure, int) {
+    if (!failure) {
+      daemon.value()->BeginDrain();
+    }
+  });
+  io.run();
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  cxxopts::Options options = MakeOptions();
+  try {
+    const auto arguments = options.parse(argc, argv);
+    if (arguments.count("help") > 0) {
+      std::cout << options.help();
+      return EXIT_SUCCESS;
+    }
+    if (arguments.count("version") > 0) {
+      std::cout << "quetzalpostd " << kVersion << "\n";
+      return EXIT_SUCCESS;
+    }
+    if (arguments.count("list-events") > 0) {
+      std::cout << qp::EventCatalogueMarkdown();
+      return EXIT_SUCCESS;
+    }
+    if (arguments.count("settings") == 0) {
+      std::cerr << "quetzalpostd: --settings is required\n";
+      return kExitUsage;
+    }
+    auto settings = LoadSettings(arguments["settings"].as<std::string>());
+    if (!settings) {
+      return kExitUsage;
+    }
+    if (arguments.count("check-settings") > 0) {
+      return EXIT_SUCCESS;
+    }
+    log4cplus::Initializer logging;
+    ConfigureLogging(*settings);
+    return Run(std::move(*settings));
+  } catch (const cxxopts::exceptions::exception& failure) {
+    std::cerr << "quetzalpostd: " << failure.what() << "\n";
+    return kExitUsage;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/daemon/configuration_controller.cc
@@ -0,0 +1,138 @@
+#include "daemon/configuration_controller.h"
+
+#include <string>
+
+#include "cluster/cluster_node.h"
+#include "daemon/cluster_handle.h"
+#include "daemon/generation_json.h"
+#include "foundation/wait.h"
+#include "platform/configuration_store.h"
+#include "platform/table.h"
+
+namespace qp {
+
+namespace {
+
+constexpr std::string_view kGenerationKey = "budget/generation";
+
+}  // namespace
+
+ConfigurationController::ConfigurationController(
+    Clock& time, Blackboard& blackboard, ConfigurationStore& source,
+    Table& service, ClusterHandle& handle, EventSink& sink,
+    const Lifetime& life)
+    : clock(time),
+      store(source),
+      table(service),
+      cluster(handle),
+      events(sink),
+      lifetime(life),
+      writer(blackboard.configuration.Claim()) {}
+
+Task<void> ConfigurationController::Poll() {
+  while (!this->lifetime.ended) {
+    const TimePoint read_began = this->clock.Now();
+    // One after the other: confirmation needs the contents of both.
+    const bool configuration_read = co_await this->ReadConfiguration();
+    const bool generation_read =
+        configuration_read && co_await this->ReadGeneration();
+    if (generation_read) {
+      this->cluster.Post([read_began](ClusterNode& node) {
+        node.ConfirmedByTable(read_began);
+      });
+      co_await this->WriteProposedGeneration();
+    }
+    co_await SleepFor(this->clock, kPollInterval);
+  }
+}
+
+Task<bool> ConfigurationController::ReadConfiguration() {
+  const auto head = co_await this->store.ReadHead();
+  if (!head) {
+    co_return false;
+  }
+  const auto known =
+      co_await this->cluster.Ask([](ClusterNode& node) -> std::uint64_t {
+        const auto current = node.CurrentConfiguration();
+        return current ? current->version : 0;
+      });
+  if (!head.value() || head.value()->version <= known) {
+    co_return true;
+  }
+  auto current = co_await this->store.ReadCurrent();
+  if (!current || !current.value()) {
+    co_return false;
+  }
+  this->cluster.Post([configuration = std::move(*current.value()),
+                      now = this->clock.Now()](ClusterNode& node) {
+    node.OfferConfiguration(configuration, now);
+  });
+  co_return true;
+}
+
+Task<bool> ConfigurationController::ReadGeneration() {
+  const auto item = co_await this->table.Read(std::string(kGenerationKey));
+  if (!item) {
+    co_return false;
+  }
+  if (!item.value()) {
+    co_return true;
+  }
+  auto generation = GenerationOf(item.value()->value);
+  if (!generation) {
+    co_return false;
+  }
+  if (generation->number > this->known_generation) {
+    this->known_generation = generation->number;
+    this->events.Record(EventId::kBudgetGeneration,
+                        {{"number", std::to_string(generation->number)}});
+  }
+  this->cluster.Post([generation = std::move(*generation),
+                      now = this->clock.Now()](ClusterNode& node) {
+    node.SetBudgetGeneration(generation, now);
+  });
+  co_return true;
+}
+
+Task<void> ConfigurationController::WriteProposedGeneration() {
+  const auto proposal =
+      co_await this->cluster.Ask([now = this->clock.Now()](ClusterNode& node) {
+        return node.ProposeGeneration(now);
+      });
+  if (!proposal) {
+    co_return;
+  }
+  TableCondition condition = IfAbsent{};
+  if (proposal->number > 1) {
+    condition = IfField{"number", proposal->number - 1};
+  }
+  TableOperation write{std::string(kGenerationKey), ToJson(*proposal),
+                       std::move(condition)};
+  // The next poll reads whichever proposal won.
+  std::ignore = co_await this->table.Transact(TransactMode::kAll,
+                                              Single(std::move(write)));
+}
+
+Task<void> ConfigurationController::Publish() {
+  while (!this->lifetime.ended) {
+    struct InForce {
+      std::shared_ptr<const Configuration> configuration;
+      TimePoint confirmed_at{};
+    };
+    const auto in_force =
+        co_await this->cluster.Ask([](ClusterNode& node) -> InForce {
+          return {node.CurrentConfiguration(),
+                  node.ConfirmedAt().value_or(TimePoint{})};
+        });
+    if (in_force.configuration &&
+        in_force.configuration->version > this->published_version) {
+      this->published_version = in_force.configuration->version;
+      this->events.Record(EventId::kConfigurationInForce,
+                          {{"version", std::to_string(published_version)}});
+      this->writer->Publish({*in_force.configuration, in_force.confirmed_at});
+    }
+    co_await SleepFor(this->clock, kPublishInterval);
+  }
+}
+
+}  // namespace qp
--- /dev/null
+++ b/packages/daemon/src/daemon/report_json.cc
@@ -0,0 +1,86 @@
+#include "daemon/report_json.h"
+
+#include <nlohmann/json.hpp>
+
+namespace qp {
+
+namespace {
+
+using nlohmann::json;
+
+std::string_view NameOf(MemberState state) {
+  switch (state) {
+    case MemberState::kAlive:
+      return "alive";
+    case MemberState::kSuspect:
+      return "suspect";
+    case MemberState::kLeaving:
+      return "leaving";
+    case MemberState::kGone:
+      return "gone";
+  }
+  return "gone";
+}
+
+}  // namespace
+
+json ToJson(const Member& member) {
+  return {{"node", member.node},
+          {"peer_address", member.peer_address},
+          {"region", member.region},
+          {"availability_zone", member.availability_zone},
+          {"state", NameOf(member.state)},
+          {"configuration_version", member.configuration_version}};
+}
+
+json ToJson(const Backend& backend) {
+  json value = {{"vm", backend.name},
+                {"address", backend.address},
+                {"availability_zone", backend.availability_zone},
+                {"running", backend.running},
+                {"queued", backend.queued},
+                {"slots", backend.slots},
+                {"leaving", backend.leaving},
+                {"reachable", backend.reachable}};
+  if (backend.role == BackendRole::kEngine) {
+    value["role"] = "engine";
+    value["kind"] = backend.kind;
+    value["model"] = backend.model;
+    value["first_layer"] = backend.first_layer;
+    value["last_layer"] = backend.last_layer;
+  } else {
+    value["role"] = "service";
+    value["service"] = backend.service;
+  }
+  return value;
+}
+
+json ToJson(const BudgetsView& budgets) {
+  json shares = json::object();
+  for (const auto& [name, share] : budgets.shares) {
+    shares[name] = {{"requests_per_second", share.requests_per_second},
+                    {"tokens_per_second", share.tokens_per_second}};
+  }
+  return {{"generation", budgets.generation}, {"shares", std::move(shares)}};
+}
+
+json ToJson(std::span<const Event> events) {
+  json array = json::array();
+  for (const Event& event : events) {
+    json fields = json::object();
+    for (const EventField& field : event.fields) {
+      fields[field.name] = field.value;
+    }
+    const EventInfo& info = InfoOf(event.id);
+    array.push_back({{"event", static_cast<int>(event.id)},
+                     {"name", info.name},
+                     {"severity", ToString(info.severity)},
+                     {"node", event.node},
+                     {"time_ms", event.time.millis},
+                     {"counter", event.time.counter},
+                     {"fields", std::move(fields)}});
+  }
+  return array;
+}
+
+}  // namespace qp
