Name closures that are passed to an awaited call

Cause: daemons crashed at the first observation round; GCC 12 destroys a temporary closure with captures twice inside of an await expression (seen as a double free of the captured vector in gdb). Ruled out: a race between the actor and the request thread (the crash is on the request thread, in the frame's own destruction). Change: the closure is a named variable that is moved in; the second record of a budget generation is gone.

--- a/packages/daemon/src/daemon/backend_controller.cc
+++ b/packages/daemon/src/daemon/backend_controller.cc
@@ -112,7 +112,9 @@
     for (const Vm& vm : this->backends) {
       names.push_back(vm.name);
     }
-    this->assigned = co_await this->cluster.Ask([names](ClusterNode& node) {
+    // Named, since GCC 12 destroys a temporary closure with captures twice in
+    // an await expression.
+    auto choose = [names](ClusterNode& node) {
       std::set<std::string, std::less<>> chosen;
       for (const std::string& name : names) {
         if (node.ShouldObserve(name)) {
@@ -120,7 +122,8 @@
         }
       }
       return chosen;
-    });
+    };
+    this->assigned = co_await this->cluster.Ask(std::move(choose));
     for (const Vm& vm : this->backends) {
       // A slow server must not hold up the observation of others.
       if (this->assigned.contains(vm.name) &&
--- a/packages/daemon/src/daemon/configuration_controller.cc
+++ b/packages/daemon/src/daemon/configuration_controller.cc
@@ -82,11 +82,6 @@
   if (!generation) {
     co_return false;
   }
-  if (generation->number > this->known_generation) {
-    this->known_generation = generation->number;
-    this->events.Record(EventId::kBudgetGeneration,
-                        {{"number", std::to_string(generation->number)}});
-  }
   this->cluster.Post([generation = std::move(*generation),
                       now = this->clock.Now()](ClusterNode& node) {
     node.SetBudgetGeneration(generation, now);
--- a/packages/daemon/src/daemon/configuration_controller.h
+++ b/packages/daemon/src/daemon/configuration_controller.h
@@ -46,7 +46,6 @@
   const Lifetime& lifetime;
   std::unique_ptr<Writer<ConfigurationView>> writer;
   std::uint64_t published_version = 0;
-  std::uint64_t known_generation = 0;
 };
 
 }  // namespace qp
