--- a/packages/daemon/src/daemon/daemon.cc
+++ b/packages/daemon/src/daemon/daemon.cc
@@ -12,6 +12,7 @@
 #include "daemon/cluster_handle.h"
 #include "daemon/configuration_controller.h"
 #include "daemon/daemon_operator_service.h"
+#include "daemon/placement_controller.h"
 #include "daemon/readiness_controller.h"
 #include "daemon/spending_controller.h"
 #include "foundation/timeline.h"
@@ -27,6 +28,7 @@
 #include "platform/grouped_table.h"
 #include "platform/http_table.h"
 #include "platform/http_vm_list.h"
+#include "platform/lease.h"
 #include "platform/monitored_table.h"
 #include "platform/usage_store.h"
 
@@ -37,6 +39,13 @@
 /// Steps between checks of a drain's progress.
 constexpr Duration kDrainInterval = std::chrono::milliseconds(50);
 
+constexpr std::string_view kPlacementLeaseKey = "lease/placement";
+
+/// Differs between two starts of one daemon, which must not share a lease.
+std::string HolderOf(const DaemonSettings& settings, std::uint64_t random) {
+  return settings.node + "/" + std::to_string(random);
+}
+
 LogFormat FormatOf(const DaemonSettings& settings) {
   return settings.log_format == "json" ? LogFormat::kJson : LogFormat::kHuman;
 }
@@ -107,11 +116,13 @@
   HttpVmList vm_list;
   ConfigurationStore store;
   UsageStore usage;
+  Lease placement_lease;
 
   ConfigurationController configuration_controller;
   ReadinessController readiness_controller;
   BackendController backend_controller;
   SpendingController spending_controller;
+  PlacementController placement_controller;
 
   policy::Admission admission;
   policy::ChainRouter chain_router;
@@ -150,6 +161,9 @@
       vm_list(this->client, this->settings.vm_list_address),
       store(this->table, time),
       usage(this->grouped_table, time),
+      placement_lease(this->table, time, this->timeline,
+                      std::string(kPlacementLeaseKey),
+                      HolderOf(this->settings, this->random())),
       configuration_controller(time, this->blackboard, this->store, this->table,
                                this->cluster, this->timeline, this->lifetime),
       readiness_controller(time, this->blackboard, this->cluster,
@@ -159,6 +173,9 @@
                          this->lifetime),
       spending_controller(time, this->blackboard, this->backend_controller,
                           this->usage, this->lifetime),
+      placement_controller(context, time, this->blackboard, this->client,
+                           this->placement_lease, this->timeline,
+                           this->lifetime),
       admission(this->random()),
       chain_router(this->random()),
       service_router(this->random()),
@@ -203,6 +220,7 @@
   this->Spawn(this->backend_controller.Observe());
   this->Spawn(this->backend_controller.Publish());
   this->Spawn(this->spending_controller.Run());
+  this->Spawn(this->placement_controller.Run());
   this->Spawn(this->UpdateAdmission());
 }
 
