--- a/packages/gateway/src/gateway/caller_api.cc
+++ b/packages/gateway/src/gateway/caller_api.cc
@@ -1,6 +1,7 @@
 #include "gateway/caller_api.h"
 
 #include <nlohmann/json.hpp>
+#include <tuple>
 
 #include "gateway/bearer_token.h"
 #include "gateway/chat_answer.h"
@@ -11,6 +12,7 @@
 namespace {
 
 constexpr std::string_view kChatPath = "/v1/chat/completions";
+constexpr WallMillis kMillisPerSecond = 1000;
 constexpr int kMinFinalStatus = 200;  // HTTP
 constexpr int kMaxFinalStatus = 599;  // HTTP
 
@@ -44,10 +46,7 @@
   return status >= kMinFinalStatus && status <= kMaxFinalStatus;
 }
 
-std::int64_t SecondsOf(WallMillis millis) {
-  constexpr WallMillis kMillisPerSecond = 1000;
-  return millis / kMillisPerSecond;
-}
+std::int64_t SecondsOf(WallMillis millis) { return millis / kMillisPerSecond; }
 
 http::Response ToResponse(const ServiceResponse& answer) {
   if (answer.result.outcome == Outcome::kComplete) {
@@ -67,7 +66,7 @@
   if (http::PathOf(request) == "/healthz") {
     http::Response healthy =
         CompleteResponse(http::Status::ok, R"({"status":"ok"})");
-    co_await responder.Send(std::move(healthy));
+    std::ignore = co_await responder.Send(std::move(healthy));
     co_return;
   }
   End end;
@@ -236,7 +235,7 @@
   http::Response response = ToResponse(answer);
   response.set(kRequestIdHeader, context.request_id);
   end.outcome = answer.result.outcome;
-  co_await responder.Send(std::move(response));
+  std::ignore = co_await responder.Send(std::move(response));
   this->OnFinished(end);
 }
 
@@ -258,7 +257,7 @@
   end.outcome = refusal.outcome;
   this->parts.metrics.OnRequestFinished(end.class_name, end.outcome,
                                         this->parts.clock.Now() - end.arrived);
-  co_await responder.Send(std::move(response));
+  std::ignore = co_await responder.Send(std::move(response));
 }
 
 void CallerApi::OnFinished(const End& end) {
--- a/packages/gateway/src/gateway/caller_request.cc
+++ b/packages/gateway/src/gateway/caller_request.cc
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::string_view kServicePrefix = "/v1/services/";
+
 Refusal BadRequest(std::string code, std::string message) {
   return InvalidRequest(http::Status::bad_request, std::move(code),
                         std::move(message));
@@ -125,11 +127,10 @@
 }
 
 std::optional<ServicePath> ReadServicePath(std::string_view path) {
-  constexpr std::string_view kPrefix = "/v1/services/";
-  if (!path.starts_with(kPrefix)) {
+  if (!path.starts_with(kServicePrefix)) {
     return std::nullopt;
   }
-  path.remove_prefix(kPrefix.size());
+  path.remove_prefix(kServicePrefix.size());
   const auto slash = path.find('/');
   if (slash == std::string_view::npos) {
     return std::nullopt;
--- a/packages/gateway/src/gateway/chat_answer.cc
+++ b/packages/gateway/src/gateway/chat_answer.cc
@@ -1,6 +1,7 @@
 #include "gateway/chat_answer.h"
 
 #include <nlohmann/json.hpp>
+#include <tuple>
 
 #include "gateway/responses.h"
 
@@ -59,7 +60,7 @@
     if (!this->begun) {
       http::Response response = ToResponse(refusal);
       SetRequestId(response, this->identity);
-      co_await this->responder.Send(std::move(response));
+      std::ignore = co_await this->responder.Send(std::move(response));
       co_return refusal.outcome;
     }
     // Part of the answer is out, so the request provably started.
@@ -102,7 +103,7 @@
       this->responder.Abort();
       co_return;
     }
-    co_await this->responder.End();
+    std::ignore = co_await this->responder.End();
   }
 
   std::string DataEvent(nlohmann::json delta,
@@ -150,7 +151,7 @@
                                   ? this->Completion()
                                   : ToResponse(FromResult(result));
     SetRequestId(response, this->identity);
-    co_await this->responder.Send(std::move(response));
+    std::ignore = co_await this->responder.Send(std::move(response));
     co_return result.outcome;
   }
 
--- a/packages/gateway/src/gateway/ctl/command_line.cc
+++ b/packages/gateway/src/gateway/ctl/command_line.cc
@@ -158,6 +158,7 @@
     const CommandInfo& info, const std::vector<std::string>& arguments,
     const std::vector<std::string>& default_daemons) {
   std::vector<const char*> argv;
+  argv.reserve(arguments.size());
   for (const std::string& argument : arguments) {
     argv.push_back(argument.c_str());
   }
--- a/packages/gateway/src/gateway/http_engine_client.cc
+++ b/packages/gateway/src/gateway/http_engine_client.cc
@@ -1,5 +1,7 @@
 #include "gateway/http_engine_client.h"
 
+#include <tuple>
+
 #include "gateway/engine_messages.h"
 #include "gateway/responses.h"
 #include "gateway/url.h"
@@ -42,7 +44,8 @@
                       std::string body) {
   http::Request request =
       http::MakeRequest(http::Verb::post, "/v1/engine/cancel", std::move(body));
-  co_await client.Send(std::move(address), std::move(request), kCancelBound);
+  std::ignore = co_await client.Send(std::move(address), std::move(request),
+                                     kCancelBound);
 }
 
 class HttpTokenStream : public TokenStream {
@@ -60,6 +63,11 @@
   ~HttpTokenStream() override { this->body->Close(); }
 
   Task<Result<StreamItem>> Next(Duration bound) override {
+    // Lines that arrived before the cancellation are still buffered.
+    if (this->cancelled) {
+      co_return Error{ErrorCode::kCancelled, "engine.stream", this->address,
+                      "the stream was cancelled"};
+    }
     Result<std::optional<std::string>> line =
         co_await this->body->ReadLine(bound);
     if (!line) {
@@ -77,6 +85,7 @@
   }
 
   void Cancel() override {
+    this->cancelled = true;
     this->body->Close();
     if (std::exchange(this->ended, true)) {
       return;
@@ -95,6 +104,7 @@
   std::string request;
   std::uint32_t attempt;
   std::string address;
+  bool cancelled = false;
   bool ended = false;  ///< The engine has nothing left to cancel.
 };
 
--- a/packages/gateway/src/gateway/operator_api.cc
+++ b/packages/gateway/src/gateway/operator_api.cc
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <optional>
+#include <tuple>
 
 #include "gateway/bearer_token.h"
 #include "gateway/responses.h"
@@ -134,7 +135,7 @@
   auto page = PublicPage(request, this->service);
   if (page) {
     http::Response response = std::move(*page);
-    co_await responder.Send(std::move(response));
+    std::ignore = co_await responder.Send(std::move(response));
     co_return;
   }
   if (!this->IsAuthorized(request)) {
@@ -142,11 +143,11 @@
     http::Response denied = Refused(http::Status::unauthorized, "access_denied",
                                     "the bearer token is missing or not known");
     denied.set(boost::beast::http::field::www_authenticate, "Bearer");
-    co_await responder.Send(std::move(denied));
+    std::ignore = co_await responder.Send(std::move(denied));
     co_return;
   }
   http::Response response = co_await this->Answer(request);
-  co_await responder.Send(std::move(response));
+  std::ignore = co_await responder.Send(std::move(response));
 }
 
 Task<http::Response> OperatorApi::Answer(const http::Request& request) {
--- a/packages/gateway/tests/gateway/caller_api_test.cc
+++ b/packages/gateway/tests/gateway/caller_api_test.cc
@@ -177,10 +177,12 @@
 TEST_CASE("Retry-After is in whole seconds, rounded up, at least one",
           "[caller_api]") {
   Fixture fixture;
-  const auto [wait, header] = GENERATE(table<qp::Duration, std::string>(
+  const auto row = GENERATE(table<qp::Duration, std::string>(
       {{0ms, "1"}, {1ms, "1"}, {1s, "1"}, {1001ms, "2"}, {90s, "90"}}));
-  REQUIRE_CALL(fixture.chat, Run(_, _)).LR_RETURN(Answer(_2, {}, NotRun(wait)));
-  CHECK(fixture.Handle(Fixture::Chat(false)).Header("Retry-After") == header);
+  REQUIRE_CALL(fixture.chat, Run(_, _))
+      .LR_RETURN(Answer(_2, {}, NotRun(std::get<0>(row))));
+  CHECK(fixture.Handle(Fixture::Chat(false)).Header("Retry-After") ==
+        std::get<1>(row));
 }
 
 // Guards against a mix-up at the engines, which tell streams apart by the
@@ -232,13 +234,13 @@
   auto request = Fixture::Post("/v1/services/stock-book/hold", R"({"n":1})");
   request.set("Quetzalpost-Deadline-Ms", "250");
   SECTION("missing") {
-    const auto responder = fixture.Handle(std::move(request));
+    const auto responder = fixture.Handle(request);
     CHECK(responder.status() == 400);
     CHECK(responder.Header("Quetzalpost-Outcome") == "not_run");
   }
   SECTION("not visible ASCII") {
     request.set("Idempotency-Key", "a b");
-    CHECK(fixture.Handle(std::move(request)).status() == 400);
+    CHECK(fixture.Handle(request).status() == 400);
   }
   SECTION("given") {
     request.set("Idempotency-Key", "key-1");
@@ -248,7 +250,7 @@
               _1.idempotency_key == "key-1" && _1.body == R"({"n":1})" &&
               _1.workspace == "members" && _1.deadline == 250ms)
         .LR_RETURN(Reply(held));
-    const auto responder = fixture.Handle(std::move(request));
+    const auto responder = fixture.Handle(request);
     CHECK(responder.status() == 201);
     CHECK(responder.response.body() == R"({"held":1})");
     CHECK(responder.Header("Quetzalpost-Outcome") == "complete");
@@ -259,7 +261,7 @@
     lost.result.error =
         qp::Error{qp::ErrorCode::kUnknownEffect, "service.call", "", ""};
     REQUIRE_CALL(fixture.plain, Run(_)).LR_RETURN(Reply(lost));
-    const auto responder = fixture.Handle(std::move(request));
+    const auto responder = fixture.Handle(request);
     CHECK(responder.status() == 504);
     CHECK(responder.Header("Quetzalpost-Outcome") == "unknown");
     CHECK(responder.Header("Retry-After").empty());
--- a/packages/gateway/tests/gateway/operator_api_test.cc
+++ b/packages/gateway/tests/gateway/operator_api_test.cc
@@ -94,7 +94,7 @@
           "[operator_api]") {
   Fixture fixture;
   using qp::ChangeStatus;
-  const auto [status, http_status, name, outcome] =
+  const auto row =
       GENERATE(table<ChangeStatus, unsigned, std::string, std::string>({
           {ChangeStatus::kInForce, 200, "in_force", "complete"},
           {ChangeStatus::kPending, 202, "pending", "complete"},
@@ -104,14 +104,14 @@
           {ChangeStatus::kUnavailable, 503, "unavailable", "not_run"},
       }));
   REQUIRE_CALL(fixture.service, Change(json({{"a", 1}}), 4U, "4-00"))
-      .LR_RETURN(Ready(Report(status)));
+      .LR_RETURN(Ready(Report(std::get<0>(row))));
   const auto responder = fixture.Handle(
       qp::http::Verb::put,
       "/v1/configuration?expected_version=4&change_id=4-00", R"({"a":1})");
-  CHECK(responder.status() == http_status);
-  CHECK(responder.Header("Quetzalpost-Outcome") == outcome);
+  CHECK(responder.status() == std::get<1>(row));
+  CHECK(responder.Header("Quetzalpost-Outcome") == std::get<3>(row));
   const auto body = json::parse(responder.response.body());
-  CHECK(body["status"] == name);
+  CHECK(body["status"] == std::get<2>(row));
   CHECK(body["pending"] == json({"entry-3"}));
 }
 
--- a/packages/gateway/tests/gateway/recorded_responder.h
+++ b/packages/gateway/tests/gateway/recorded_responder.h
@@ -36,7 +36,8 @@
   unsigned status() const { return this->response.result_int(); }
   std::string Header(const char* name) const {
     const auto found = this->response.find(name);
-    return found == this->response.end() ? "" : std::string(found->value());
+    return found == this->response.end() ? std::string()
+                                         : found->value().to_string();
   }
 
   http::Response response;
--- a/packages/http/src/http/client.cc
+++ b/packages/http/src/http/client.cc
@@ -2,6 +2,7 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <limits>
 #include <map>
 #include <vector>
 
@@ -79,7 +80,8 @@
 
   LinkStream(std::string server, std::unique_ptr<Link> open)
       : address(std::move(server)), link(std::move(open)) {
-    this->parser.body_limit(boost::none);
+    // Without a limit, Beast 1.74 refuses every body that states its length.
+    this->parser.body_limit(std::numeric_limits<std::uint64_t>::max());
   }
 
   Task<Result<void>> ReadHead() {
