--- a/packages/gateway/src/gateway/chat_answer.cc
+++ b/packages/gateway/src/gateway/chat_answer.cc
@@ -40,7 +40,8 @@
     if (this->tokens == 0) {
       delta["role"] = "assistant";
     }
-    const std::string event = this->DataEvent(std::move(delta), nullptr);
+    const std::string event =
+        "data: " + Dump(this->Chunk(std::move(delta), nullptr)) + "\n\n";
     Result<void> written = co_await this->responder.Write(event);
     if (written) {
       ++this->tokens;
@@ -53,8 +54,7 @@
 
   Task<Outcome> Finish(CallResult result) override {
     if (result.outcome == Outcome::kComplete) {
-      co_await this->FinishWhole();
-      co_return Outcome::kComplete;
+      co_return co_await this->FinishWhole();
     }
     Refusal refusal = FromResult(result);
     if (!this->begun) {
@@ -68,7 +68,7 @@
     const std::string event =
         "event: error\ndata: " + Dump(ToJson(refusal)) + "\n\n";
     co_await this->WriteLast(event);
-    co_return refusal.outcome;
+    co_return Outcome::kUnknown;
   }
 
  private:
@@ -84,40 +84,43 @@
     co_return co_await this->responder.BeginStream(std::move(head));
   }
 
-  Task<void> FinishWhole() {
+  Task<Outcome> FinishWhole() {
     const Result<void> ready = co_await this->BeginOnce();
     if (!ready) {
       this->responder.Abort();
-      co_return;
+      co_return Outcome::kUnknown;
     }
-    const std::string events =
-        this->DataEvent(nlohmann::json::object(),
-                        FinishReason(this->identity, this->tokens)) +
-        "data: [DONE]\n\n";
-    co_await this->WriteLast(events);
+    nlohmann::json last = this->Chunk(
+        nlohmann::json::object(), FinishReason(this->identity, this->tokens));
+    // The head of the stream was sent before the outcome was known.
+    last["outcome"] = ToString(Outcome::kComplete);
+    const std::string events = "data: " + Dump(last) + "\n\ndata: [DONE]\n\n";
+    const bool delivered = co_await this->WriteLast(events);
+    co_return delivered ? Outcome::kComplete : Outcome::kUnknown;
   }
 
-  Task<void> WriteLast(const std::string& events) {
-    const Result<void> written = co_await this->responder.Write(events);
+  /// False if the caller is gone.
+  Task<bool> WriteLast(const std::string& events) {
+    Result<void> written = co_await this->responder.Write(events);
+    if (written) {
+      written = co_await this->responder.End();
+    }
     if (!written) {
       this->responder.Abort();
-      co_return;
     }
-    std::ignore = co_await this->responder.End();
+    co_return written.has_value();
   }
 
-  std::string DataEvent(nlohmann::json delta,
-                        nlohmann::json finish_reason) const {
+  nlohmann::json Chunk(nlohmann::json delta,
+                       nlohmann::json finish_reason) const {
     const nlohmann::json choice = {{"index", 0},
                                    {"delta", std::move(delta)},
                                    {"finish_reason", std::move(finish_reason)}};
-    const nlohmann::json chunk = {
-        {"id", "chatcmpl-" + this->identity.request_id},
-        {"object", "chat.completion.chunk"},
-        {"created", this->identity.created},
-        {"model", this->identity.class_name},
-        {"choices", nlohmann::json::array({choice})}};
-    return "data: " + Dump(chunk) + "\n\n";
+    return {{"id", "chatcmpl-" + this->identity.request_id},
+            {"object", "chat.completion.chunk"},
+            {"created", this->identity.created},
+            {"model", this->identity.class_name},
+            {"choices", nlohmann::json::array({choice})}};
   }
 
   http::Responder& responder;
@@ -147,12 +150,13 @@
   bool disconnected() const override { return this->responder.disconnected(); }
 
   Task<Outcome> Finish(CallResult result) override {
-    http::Response response = result.outcome == Outcome::kComplete
-                                  ? this->Completion()
-                                  : ToResponse(FromResult(result));
+    const bool complete = result.outcome == Outcome::kComplete;
+    http::Response response =
+        complete ? this->Completion() : ToResponse(FromResult(result));
     SetRequestId(response, this->identity);
-    std::ignore = co_await this->responder.Send(std::move(response));
-    co_return result.outcome;
+    const Result<void> sent =
+        co_await this->responder.Send(std::move(response));
+    co_return complete && !sent ? Outcome::kUnknown : result.outcome;
   }
 
  private:
--- a/packages/gateway/src/gateway/chat_answer.h
+++ b/packages/gateway/src/gateway/chat_answer.h
@@ -37,7 +37,8 @@
 /// Sends the answer to one chat request.
 class ChatAnswer : public TokenSink {
  public:
-  /// Ends the response. Returns the outcome that the caller was told.
+  /// Ends the response. Returns the outcome that the caller was told, and
+  /// kUnknown for a complete answer that could not be delivered.
   virtual Task<Outcome> Finish(CallResult result) = 0;
 };
 
--- a/packages/gateway/tests/gateway/caller_api_test.cc
+++ b/packages/gateway/tests/gateway/caller_api_test.cc
@@ -150,6 +150,8 @@
     const auto responder = fixture.Handle(Fixture::Chat(true));
     CHECK(responder.Header("Content-Type") == "text/event-stream");
     CHECK(responder.streamed.ends_with("data: [DONE]\n\n"));
+    CHECK(responder.streamed.find(R"("outcome":"complete")") !=
+          std::string::npos);
     CHECK(responder.streamed.find("event: error") == std::string::npos);
     CHECK(responder.ended);
   }
@@ -305,6 +307,23 @@
   CHECK(body["error"].contains("code"));
 }
 
+// Guards against an answer counted as complete that no caller received.
+TEST_CASE("A complete answer that was not delivered counts as unknown",
+          "[caller_api]") {
+  Fixture fixture;
+  const bool stream = GENERATE(false, true);
+  qp::testing::RecordedResponder responder;
+  responder.gone = true;
+  REQUIRE_CALL(fixture.chat, Run(_, _)).LR_RETURN(Answer(_2, {}, kComplete));
+  auto task = [&]() -> qp::Task<bool> {
+    co_await fixture.api.Handle(Fixture::Chat(stream), responder);
+    co_return true;
+  };
+  REQUIRE(fixture.runtime.RunFor(task(), 1s));
+  CHECK(fixture.metrics.Text().find(
+            R"({class="questions",outcome="unknown"} 1)") != std::string::npos);
+}
+
 // Guards against series without bound: names from callers are no labels.
 TEST_CASE("Metrics take class names from the configuration only",
           "[caller_api]") {
--- a/packages/gateway/tests/gateway/recorded_responder.h
+++ b/packages/gateway/tests/gateway/recorded_responder.h
@@ -12,6 +12,9 @@
   Task<Result<void>> Send(http::Response sent) override {
     this->response = std::move(sent);
     ++this->answers;
+    if (this->gone) {
+      co_return Error{ErrorCode::kUnavailable, "http.write", "", ""};
+    }
     co_return Ok();
   }
   Task<Result<void>> BeginStream(http::Response head) override {
