--- a/packages/gateway/tests/gateway/operator_api_test.cc
+++ b/packages/gateway/tests/gateway/operator_api_test.cc
@@ -11,7 +11,6 @@
 using nlohmann::json;
 using qp::Result;
 using qp::Task;
-using trompeloeil::_;
 
 namespace {
 
