--- a/packages/gateway/tests/gateway/recorded_responder.h
+++ b/packages/gateway/tests/gateway/recorded_responder.h
@@ -12,6 +12,9 @@
   Task<Result<void>> Send(http::Response sent) override {
     this->response = std::move(sent);
     ++this->answers;
+    if (this->gone) {
+      co_return Error{ErrorCode::kUnavailable, "http.write", "", ""};
+    }
     co_return Ok();
   }
   Task<Result<void>> BeginStream(http::Response head) override {
@@ -36,7 +39,8 @@
   unsigned status() const { return this->response.result_int(); }
   std::string Header(const char* name) const {
     const auto found = this->response.find(name);
-    return found == this->response.end() ? "" : std::string(found->value());
+    return found == this->response.end() ? std::string()
+                                         : found->value().to_string();
   }
 
   http::Response response;
