--- a/packages/apps/quetzalpost_standin/main.cc
+++ b/packages/apps/quetzalpost_standin/main.cc
@@ -56,6 +56,7 @@
   };
   add("command", "Kind of stand-in", cxxopts::value<std::string>());
   add("listen", "IP:port; port 0 for any", text("127.0.0.1:0"));
+  add("executions", "engine, service: file for a copy of the record", text(""));
   add("engine", "engine: unique name", text("engine"));
   add("model", "engine: NAME=LAYERS, the first one is loaded",
       cxxopts::value<std::vector<std::string>>()->default_value("model=8"));
@@ -141,6 +142,10 @@
   qp::CafClock clock(system);
   qp::asio::io_context io;
   const auto standin = MakeStandin(arguments, io, clock);
+  const auto executions = arguments["executions"].as<std::string>();
+  if (!executions.empty() && !standin->WriteExecutionsTo(executions)) {
+    throw std::runtime_error("cannot write " + executions);
+  }
   qp::http::ServerLimits limits;
   limits.max_body_bytes = 64 * 1024 * 1024;  // Exported KV caches are large.
   qp::http::Server server(io, clock, limits, *standin);
--- a/packages/standins/src/standins/engine_standin.cc
+++ b/packages/standins/src/standins/engine_standin.cc
@@ -336,6 +336,7 @@
   this->executions.push_back({step.request, step.attempt, step.position,
                               *step.layers, step.rebuild,
                               this->clock.WallNow()});
+  this->OnExecution(ToJson(this->executions.back()));
   return below;
 }
 
@@ -545,17 +546,20 @@
   this->load.Set(this->clock.Now(), changed);
 }
 
+nlohmann::json EngineStandin::ToJson(const Execution& execution) {
+  return {{"request", execution.request},
+          {"attempt", execution.attempt},
+          {"position", execution.position},
+          {"first_layer", execution.layers.first},
+          {"last_layer", execution.layers.last},
+          {"rebuild", execution.rebuild},
+          {"time_ms", execution.time}};
+}
+
 nlohmann::json EngineStandin::Record(std::size_t since) const {
   nlohmann::json items = nlohmann::json::array();
   for (std::size_t index = since; index < this->executions.size(); ++index) {
-    const Execution& item = this->executions[index];
-    items.push_back({{"request", item.request},
-                     {"attempt", item.attempt},
-                     {"position", item.position},
-                     {"first_layer", item.layers.first},
-                     {"last_layer", item.layers.last},
-                     {"rebuild", item.rebuild},
-                     {"time_ms", item.time}});
+    items.push_back(ToJson(this->executions[index]));
   }
   return {{"engine", this->options.engine},
           {"executions", items},
--- a/packages/standins/src/standins/engine_standin.h
+++ b/packages/standins/src/standins/engine_standin.h
@@ -58,6 +58,8 @@
     WallMillis time = 0;
   };
 
+  static nlohmann::json ToJson(const Execution& execution);
+
   nlohmann::json Status() const;
   Task<void> ServeStream(StreamOrder order, http::Responder& responder);
   Task<void> ServeStep(Step step, http::Responder& responder);
--- a/packages/standins/src/standins/service_standin.cc
+++ b/packages/standins/src/standins/service_standin.cc
@@ -47,6 +47,7 @@
   const std::string key(http::HeaderOr(request, "Idempotency-Key"));
   const std::string id(http::HeaderOr(request, "X-Request-Id"));
   this->executions.push_back({key, id, operation, this->clock.WallNow()});
+  this->OnExecution(ToJson(this->executions.back()));
   const std::uint64_t execution =
       key.empty() ? 1 : ++this->executions_by_key[key];
   return {
@@ -56,14 +57,17 @@
       {"result", DigestOf({this->options.service, operation, request.body()})}};
 }
 
+nlohmann::json ServiceStandin::ToJson(const Execution& execution) {
+  return {{"key", execution.key},
+          {"request", execution.request},
+          {"operation", execution.operation},
+          {"time_ms", execution.time}};
+}
+
 nlohmann::json ServiceStandin::Record(std::size_t since) const {
   nlohmann::json items = nlohmann::json::array();
   for (std::size_t index = since; index < this->executions.size(); ++index) {
-    const Execution& item = this->executions[index];
-    items.push_back({{"key", item.key},
-                     {"request", item.request},
-                     {"operation", item.operation},
-                     {"time_ms", item.time}});
+    items.push_back(ToJson(this->executions[index]));
   }
   return {{"service", this->options.service}, {"executions", items}};
 }
--- a/packages/standins/src/standins/service_standin.h
+++ b/packages/standins/src/standins/service_standin.h
@@ -36,6 +36,8 @@
     WallMillis time = 0;
   };
 
+  static nlohmann::json ToJson(const Execution& execution);
+
   nlohmann::json Status() const;
   nlohmann::json Execute(const http::Request& request);
   void ChangeRunning(int change);
--- a/packages/standins/src/standins/standin.cc
+++ b/packages/standins/src/standins/standin.cc
@@ -100,6 +100,17 @@
   this->on_switches = std::move(callback);
 }
 
+bool Standin::WriteExecutionsTo(const std::string& path) {
+  this->execution_file.open(path, std::ios::app);
+  return this->execution_file.is_open();
+}
+
+void Standin::OnExecution(const nlohmann::json& execution) {
+  if (this->execution_file.is_open()) {
+    this->execution_file << execution.dump() + "\n" << std::flush;
+  }
+}
+
 Task<void> Standin::Handle(http::Request request, http::Responder& responder) {
   if (http::PathOf(request).starts_with(kControlPrefix)) {
     co_await this->ServeControl(request, responder);
--- a/packages/standins/src/standins/standin.h
+++ b/packages/standins/src/standins/standin.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <fstream>
 #include <functional>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -48,11 +49,18 @@
   /// Called after each change of the switches, before it is answered.
   void OnSwitches(OnChange callback);
 
+  /// Also writes each execution to a file, one JSON object a line, so that the
+  /// record of a killed stand-in is not lost. False if it cannot be opened.
+  bool WriteExecutionsTo(const std::string& path);
+
  protected:
   virtual Task<void> Serve(http::Request request,
                            http::Responder& responder) = 0;
   virtual nlohmann::json Record(std::size_t since) const = 0;
 
+  /// To be called before the execution is answered.
+  void OnExecution(const nlohmann::json& execution);
+
   const Switches& switches() const { return this->current; }
 
   Clock& clock;
@@ -65,6 +73,7 @@
 
   Switches current;
   OnChange on_switches;
+  std::ofstream execution_file;
 };
 
 }  // namespace qp::standins
--- /dev/null
+++ b/tests/process/callers.py
@@ -0,0 +1,135 @@
+"""Callers of the router. Each request gives one log entry (a dict) that says
+what the caller was told; checker.py judges the entries."""
+
+import http.client
+import json
+import threading
+import time
+
+DEADLINE_MS = 20000
+# Longer than the deadline: without an answer by then, the answer is lost.
+CALLER_BOUND_S = 30
+
+
+def outcome_of(status, headers):
+    """What the response says of the request; `broken` if it says nothing."""
+    return headers.get("quetzalpost-outcome", "broken" if status != 200 else "complete")
+
+
+class Caller:
+    """Sends requests of one workspace and keeps their log."""
+
+    def __init__(self, token):
+        self.token = token
+        self.log = []
+        self.lock = threading.Lock()
+
+    def headers(self, request, key=None):
+        headers = {
+            "Authorization": "Bearer " + self.token,
+            "X-Request-Id": request,
+            "Quetzalpost-Deadline-Ms": str(DEADLINE_MS),
+            "Content-Type": "application/json",
+        }
+        if key:
+            headers["Idempotency-Key"] = key
+        return headers
+
+    def send(self, entry, target, body, headers, read):
+        """One exchange; `read` fills in the entry from the response."""
+        host, port = entry["daemon"].rsplit(":", 1)
+        connection = http.client.HTTPConnection(host, int(port), timeout=CALLER_BOUND_S)
+        entry.update(status=0, outcome="broken", retry_after=None, started=time.time())
+        begin = time.monotonic()
+        try:
+            connection.request("POST", target, body=body, headers=headers)
+            response = connection.getresponse()
+            names = {name.lower(): value for name, value in response.getheaders()}
+            entry["status"] = response.status
+            entry["retry_after"] = names.get("retry-after")
+            read(response, names)
+        except (OSError, ValueError, http.client.HTTPException) as failure:
+            entry["outcome"] = "broken"
+            entry["failure"] = repr(failure)
+        finally:
+            connection.close()
+        entry["seconds"] = time.monotonic() - begin
+        with self.lock:
+            self.log.append(entry)
+        return entry
+
+    def ask(self, daemon, request, class_name, question, max_tokens, on_token=None):
+        """Streams the answer to a question."""
+        entry = {
+            "kind": "chat", "request": request, "daemon": daemon, "class": class_name,
+            "prompt": f"user: {question}\n", "max_tokens": max_tokens,
+            "content": "", "token_times": [],
+        }
+        body = json.dumps({
+            "model": class_name, "max_tokens": max_tokens, "stream": True,
+            "messages": [{"role": "user", "content": question}],
+        })
+
+        def read(response, names):
+            if response.status != 200:
+                entry["error"] = response.read().decode(errors="replace")
+                entry["outcome"] = outcome_of(response.status, names)
+                return
+            read_events(response, entry, on_token)
+
+        return self.send(entry, "/v1/chat/completions", body, self.headers(request), read)
+
+    def call(self, daemon, request, service, operation, document, key=None):
+        """Calls a plain service; with a key, a call that may run only once."""
+        body = json.dumps(document)
+        entry = {
+            "kind": "once" if key else "lookup", "request": request, "daemon": daemon,
+            "service": service, "operation": operation, "body": body, "key": key or "",
+            "result": None,
+        }
+
+        def read(response, names):
+            content = response.read()
+            entry["outcome"] = outcome_of(response.status, names)
+            if response.status == 200:
+                entry["answer"] = json.loads(content)
+                entry["result"] = entry["answer"].get("result")
+            else:
+                entry["error"] = content.decode(errors="replace")
+
+        target = f"/v1/services/{service}/{operation}"
+        return self.send(entry, target, body, self.headers(request, key), read)
+
+
+def read_events(response, entry, on_token):
+    """Reads server-sent events up to the end of the stream."""
+    event = ""
+    for raw in response:
+        line = raw.decode().rstrip("\r\n")
+        if line.startswith("event: "):
+            event = line[len("event: "):]
+        if not line.startswith("data: "):
+            continue
+        data = line[len("data: "):]
+        if event == "error":
+            entry["error"] = data
+            entry["outcome"] = json.loads(data).get("outcome", "broken")
+            return
+        if data == "[DONE]":
+            entry["outcome"] = "complete"
+            continue
+        delta = json.loads(data)["choices"][0]["delta"].get("content")
+        if delta:
+            entry["content"] += delta
+            entry["token_times"].append(time.time())
+            if on_token:
+                on_token(entry)
+
+
+def run_all(jobs):
+    """Runs callables at once, one thread each, and waits for all."""
+    threads = [threading.Thread(target=job, daemon=True) for job in jobs]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
--- a/tests/process/processes.py
+++ b/tests/process/processes.py
@@ -118,6 +118,9 @@
         arguments = [program, command]
         for option, value in options.items():
             arguments += [f"--{option}", str(value)]
+        self.executions_path = os.path.join(directory, name + ".executions")
+        arguments += ["--executions", self.executions_path]
+        self.options = options
         super().__init__(name, arguments, directory)
         self.address = self.wait_for_line("listening ")
 
@@ -130,7 +133,14 @@
         return document
 
     def record(self):
-        return exchange_json(self.address, "GET", "/v1/standin/record")[1]
+        """What it ran; also of a killed stand-in, from its file."""
+        if self.running():
+            return exchange_json(self.address, "GET", "/v1/standin/record")[1]
+        with open(self.executions_path) as file:
+            # The last line may have been cut short by the kill.
+            lines = [line for line in file if line.endswith("\n")]
+        executions = [json.loads(line) for line in lines]
+        return {**self.options, "executions": executions}
 
 
 class ProcessGroup:
--- a/tests/process/standins_test.py
+++ b/tests/process/standins_test.py
@@ -109,7 +109,8 @@
                 break
             tokens.append(line["token"])
             if len(tokens) == used:
-                self.stages[index][0].kill()
+                self.killed = self.stages[index][0]
+                self.killed.kill()
         stream.close()
         return tokens, end
 
@@ -132,6 +133,8 @@
         replacement = self.engine("b2", 2, 3)
         self.stages[1] = (replacement, 2, 3)
         self.assertEqual(self.resume(tokens), self.expected("r1"))
+        killed = [i["position"] for i in self.killed.record()["executions"]]
+        self.assertEqual(killed[:len(tokens)], list(range(len(tokens))))
         rebuilt = [i["position"] for i in replacement.record()["executions"] if i["rebuild"]]
         self.assertEqual(rebuilt, list(range(len(tokens))))
         for process in (self.stages[0][0], self.stages[2][0]):
