--- a/tests/process/deployment.py
+++ b/tests/process/deployment.py
@@ -155,6 +155,13 @@
                 raise RuntimeError(f"not ready: {names}; logs in {self.group.directory}")
             time.sleep(0.1)
 
+    def configuration_in_force(self, daemon):
+        """Version and content as one daemon shows them to operators."""
+        status, document = daemon.operator("GET", "/v1/configuration")
+        if status != 200:
+            raise RuntimeError(f"{daemon.name} shows no configuration: {document}")
+        return document["version"], document
+
     # Facts that the checker needs.
 
     def models(self):
--- /dev/null
+++ b/tests/process/router_test.py
@@ -0,0 +1,200 @@
+"""Tests of three daemons with stand-ins under faults. Each test ends with the
+checker's verdict on everything that callers were told."""
+
+import os
+import signal
+import threading
+import time
+import unittest
+
+from callers import Caller, run_all
+from checker import Checker
+from deployment import PROFILES, Deployment
+from processes import ProcessGroup
+
+BUILD_DIR = os.environ.get("BUILD_DIR", "build")
+TOKENS = 20
+# Bound of the design for work given to a server that is leaving.
+LEAVING_BOUND_S = 3.0
+
+
+class RouterTest(unittest.TestCase):
+    def setUp(self):
+        self.group = ProcessGroup(os.path.abspath(BUILD_DIR))
+        self.addCleanup(self.group.__exit__)
+        self.profile = PROFILES["member-desk"]
+        self.deployment = Deployment(self.group, self.profile)
+        self.deployment.start_daemons()
+        self.daemons = self.deployment.daemons
+        self.caller = Caller(self.deployment.token)
+        self.ended = []
+
+    def ask(self, daemon, request, on_token=None, tokens=TOKENS):
+        return self.caller.ask(
+            daemon.address, request, self.profile.question, f"Question {request}", tokens, on_token
+        )
+
+    def lookup(self, daemon, request):
+        return self.caller.call(
+            daemon.address, request, self.deployment.service, self.profile.lookup, {"item": request}
+        )
+
+    def once(self, daemon, request, key):
+        return self.caller.call(
+            daemon.address, request, self.deployment.service, self.profile.once, {"item": 1}, key
+        )
+
+    def slow_down(self, token_delay_ms=20):
+        for engine in self.deployment.engines:
+            engine.switch(token_delay_ms=token_delay_ms)
+
+    def executions(self, key):
+        records = [service.record() for service in self.deployment.services]
+        return sum(item["key"] == key for record in records for item in record["executions"])
+
+    def assert_outcomes(self, entries, outcome):
+        wrong = [(e["request"], e["outcome"], e.get("error")) for e in entries if e["outcome"] != outcome]
+        self.assertEqual(wrong, [])
+
+    def assert_no_violations(self):
+        checker = Checker(
+            self.deployment.models(), self.deployment.classes(),
+            [engine.record() for engine in self.deployment.engines],
+            [service.record() for service in self.deployment.services], self.ended,
+        )
+        self.assertEqual([str(v) for v in checker.check(self.caller.log)], [])
+
+    # Engines.
+
+    def ask_with_fault(self, fault, count=6):
+        """Asks `count` questions and causes the fault after some tokens."""
+        self.slow_down()
+        started = threading.Event()
+        entries = []
+
+        def on_token(entry):
+            if len(entry["token_times"]) == 4:
+                started.set()
+
+        jobs = [
+            lambda n=n: entries.append(self.ask(self.daemons[n % 3], f"chat-{n}", on_token))
+            for n in range(count)
+        ]
+        run_all(jobs + [lambda: (started.wait(10), fault())])
+        return entries
+
+    def test_a_silent_stage_loses_no_answer(self):
+        engine = self.deployment.engines[2]
+        self.assert_outcomes(self.ask_with_fault(lambda: engine.switch(silent=True)), "complete")
+        self.assert_no_violations()
+
+    def test_a_killed_first_stage_loses_no_answer(self):
+        engine = self.deployment.engines[0]
+        self.assert_outcomes(self.ask_with_fault(engine.kill), "complete")
+        self.assert_no_violations()
+
+    def test_a_killed_last_stage_loses_no_answer(self):
+        engine = self.deployment.engines[4]
+        self.assert_outcomes(self.ask_with_fault(engine.kill), "complete")
+        self.assert_no_violations()
+
+    def test_a_leaving_engine_finishes_its_work_and_gets_none_after_the_bound(self):
+        engine = self.deployment.engines[0]
+        entries = self.ask_with_fault(lambda: engine.switch(leaving=True))
+        self.assert_outcomes(entries, "complete")
+        time.sleep(LEAVING_BOUND_S)
+        before = len(engine.record()["executions"])
+        later = [self.ask(d, f"later-{d.name}") for d in self.daemons]
+        self.assert_outcomes(later, "complete")
+        self.assertEqual(len(engine.record()["executions"]), before)
+        self.assert_no_violations()
+
+    # Platform.
+
+    def test_a_table_outage_spares_idempotent_calls(self):
+        self.deployment.table.switch(down=True)
+        entries = [self.ask(d, f"chat-{d.name}") for d in self.daemons]
+        entries += [self.lookup(d, f"lookup-{d.name}") for d in self.daemons]
+        self.assert_outcomes(entries, "complete")
+        refused = [self.once(d, f"once-{d.name}", "key-outage") for d in self.daemons]
+        self.assert_outcomes(refused, "not_run")
+        self.deployment.table.switch(down=False)
+        self.assertEqual(self.executions("key-outage"), 0)
+        self.assert_no_violations()
+
+    def test_a_lost_answer_to_a_claim_never_runs_a_call_twice(self):
+        self.deployment.table.switch(lose_answer=True)
+        for daemon in self.daemons:
+            self.once(daemon, f"lost-{daemon.name}", "key-lost")
+        self.deployment.table.switch(lose_answer=False)
+        for daemon in self.daemons:
+            self.once(daemon, f"after-{daemon.name}", "key-lost")
+        self.assertLessEqual(self.executions("key-lost"), 1)
+        self.assert_no_violations()
+
+    # Calls that may run only once.
+
+    def test_a_key_used_at_all_daemons_at_once_runs_once(self):
+        jobs = [
+            lambda d=d, n=n: self.once(d, f"once-{d.name}-{n}", "key-race")
+            for d in self.daemons for n in range(3)
+        ]
+        run_all(jobs)
+        self.assertEqual(self.executions("key-race"), 1)
+        self.assertIn("complete", [entry["outcome"] for entry in self.caller.log])
+        self.assert_no_violations()
+
+    def test_a_lost_answer_of_the_service_is_reported_as_unknown(self):
+        for service in self.deployment.services:
+            service.switch(lose_answer=True)
+        entries = [self.once(self.daemons[0], "first", "key-unknown")]
+        for service in self.deployment.services:
+            service.switch(lose_answer=False)
+        entries += [self.once(d, f"again-{d.name}", "key-unknown") for d in self.daemons]
+        self.assert_outcomes(entries, "unknown")
+        self.assertEqual(self.executions("key-unknown"), 1)
+        self.assert_no_violations()
+
+    # Daemons.
+
+    def test_a_planned_stop_interrupts_no_request(self):
+        daemon = self.daemons[0]
+        entries = self.ask_with_fault(lambda: daemon.process.signal(signal.SIGTERM))
+        self.assert_outcomes(entries, "complete")
+        self.assertEqual(daemon.process.child.wait(20), 0)
+        self.assert_no_violations()
+
+    def test_a_killed_daemon_misreports_nothing(self):
+        def kill():
+            self.ended.append(self.daemons[0].address)
+            self.daemons[0].process.kill()
+
+        entries = self.ask_with_fault(kill)
+        others = [e for e in entries if e["daemon"] not in self.ended]
+        self.assert_outcomes(others, "complete")
+        self.assert_outcomes([self.ask(self.daemons[1], "after")], "complete")
+        self.assert_no_violations()
+
+    def test_one_of_two_conflicting_changes_wins(self):
+        version, document = self.deployment.configuration_in_force(self.daemons[0])
+        answers = []
+
+        def change(daemon, rate):
+            changed = dict(document)
+            changed["classes"] = [dict(c) for c in document["classes"]]
+            changed["classes"][0]["target"] = dict(
+                changed["classes"][0]["target"], requests_per_second=rate
+            )
+            answers.append(daemon.operator(
+                "PUT", f"/v1/configuration?expected_version={version}", changed
+            ))
+
+        run_all([lambda: change(self.daemons[0], 21), lambda: change(self.daemons[1], 22)])
+        self.assertEqual(sorted(status for status, _ in answers), [200, 409], answers)
+        for daemon in self.daemons:
+            now, _ = self.deployment.configuration_in_force(daemon)
+            self.assertEqual(now, version + 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
