Wait until the daemons of a process test serve requests

Cause: a daemon reports ready before it knows the backend servers and has a share of each class, so the first requests are refused. Change: the harness probes each daemon until it gives one answer of each kind; logs stay when something was wrong.

--- a/tests/process/callers.py
+++ b/tests/process/callers.py
@@ -101,6 +101,37 @@
         return self.send(entry, target, body, self.headers(request, key), read)
 
 
+def wait_until_serving(caller, deployment, bound_s):
+    """Asks each daemon for one answer of each kind until it is given. A daemon
+    that has just started refuses requests until it knows the backend servers
+    and has a share of each class. Returns the seconds that it took."""
+    begin = time.monotonic()
+    profile = deployment.profile
+
+    def probes(daemon, attempt):
+        name = f"probe-{daemon.name}-{attempt}"
+        yield lambda: caller.ask(daemon.address, name + "-chat", profile.question, name, 2)
+        yield lambda: caller.call(
+            daemon.address, name + "-lookup", deployment.service, profile.lookup, {"probe": name}
+        )
+        yield lambda: caller.call(
+            daemon.address, name + "-once", deployment.service, profile.once, {"probe": name}, name
+        )
+
+    for daemon in deployment.daemons:
+        attempt = 0
+        waiting = [0, 1, 2]
+        while waiting:
+            if time.monotonic() - begin > bound_s:
+                raise RuntimeError(f"{daemon.name} refuses requests: {caller.log[-1]}")
+            attempt += 1
+            jobs = list(probes(daemon, attempt))
+            waiting = [n for n in waiting if jobs[n]()["outcome"] != "complete"]
+            if waiting:
+                time.sleep(0.2)
+    return time.monotonic() - begin
+
+
 def read_events(response, entry, on_token):
     """Reads server-sent events up to the end of the stream."""
     event = ""
--- a/tests/process/demo.py
+++ b/tests/process/demo.py
@@ -8,7 +8,7 @@
 import sys
 import time
 
-from callers import Caller, run_all
+from callers import Caller, run_all, wait_until_serving
 from checker import Checker
 from deployment import PROFILES, Deployment
 from processes import ProcessGroup
@@ -18,6 +18,8 @@
 LOOKUPS_PER_DAEMON = 5
 LOAD_QUESTIONS = 12
 TOKEN_DELAY_MS = 20
+# A first budget generation is in use 10 s after it was written.
+SERVING_BOUND_S = 40
 # The design promises that an answer resumes within 1 s for 95%.
 RESUME_GOAL_S = 1.0
 
@@ -134,6 +136,8 @@
         self.deployment.start_daemons()
         ready = time.monotonic() - begin
         self.rows.append(("daemons ready", len(self.deployment.daemons), f"{ready:.1f} s", ""))
+        serving = wait_until_serving(self.caller, self.deployment, SERVING_BOUND_S)
+        self.rows.append(("daemons serving", len(self.deployment.daemons), f"{serving:.1f} s", ""))
         mistakes = []
         for part in (self.questions, self.lookups, self.repeated_key, self.failures_under_load):
             mistakes += part()
@@ -153,12 +157,16 @@
     arguments = parser.parse_args()
     with ProcessGroup(os.path.abspath(arguments.build_dir)) as group:
         scenario = Scenario(group, PROFILES[arguments.deployment])
+        mistakes = []
         try:
             mistakes = scenario.run()
         finally:
             print_table(scenario.rows)
         for mistake in mistakes:
             print("WRONG:", mistake)
+        group.keep_logs = bool(mistakes)
+        if mistakes:
+            print("logs:", group.directory)
         print("checked:", len(scenario.caller.log), "answers,", len(mistakes), "wrong")
     return 1 if mistakes else 0
 
--- a/tests/process/processes.py
+++ b/tests/process/processes.py
@@ -148,6 +148,7 @@
 
     def __init__(self, build_dir):
         self.build_dir = build_dir
+        self.keep_logs = False
         self.directory = tempfile.mkdtemp(prefix="qp-processes-")
         self.processes = []
 
@@ -163,8 +164,7 @@
             process.child.stdout.close()
             process.reader.join(STOP_BOUND_S)
             process.log.close()
-        # The logs stay for a look after a failure.
-        if not any(failure):
+        if not any(failure) and not self.keep_logs:
             shutil.rmtree(self.directory, ignore_errors=True)
 
     def program(self, name):
--- a/tests/process/router_test.py
+++ b/tests/process/router_test.py
@@ -7,7 +7,7 @@
 import time
 import unittest
 
-from callers import Caller, run_all
+from callers import Caller, run_all, wait_until_serving
 from checker import Checker
 from deployment import PROFILES, Deployment
 from processes import ProcessGroup
@@ -16,6 +16,8 @@
 TOKENS = 20
 # Bound of the design for work given to a server that is leaving.
 LEAVING_BOUND_S = 3.0
+# A first budget generation is in use 10 s after it was written.
+SERVING_BOUND_S = 40
 
 
 class RouterTest(unittest.TestCase):
@@ -28,6 +30,7 @@
         self.daemons = self.deployment.daemons
         self.caller = Caller(self.deployment.token)
         self.ended = []
+        wait_until_serving(self.caller, self.deployment, SERVING_BOUND_S)
 
     def ask(self, daemon, request, on_token=None, tokens=TOKENS):
         return self.caller.ask(
