--- a/packages/gateway/src/gateway/chat_answer.h
+++ b/packages/gateway/src/gateway/chat_answer.h
@@ -14,6 +14,7 @@
 /// What the chunks of one chat answer have in common.
 struct ChatIdentity {
   std::string request_id;  ///< As returned in X-Request-Id.
+  std::string call_id;     ///< Names the answer towards engines.
   std::string class_name;
   std::uint32_t max_tokens = 0;
   std::int64_t created = 0;  ///< Seconds since the Unix epoch.
@@ -37,7 +38,8 @@
 /// Sends the answer to one chat request.
 class ChatAnswer : public TokenSink {
  public:
-  /// Ends the response. Returns the outcome that the caller was told.
+  /// Ends the response. Returns the outcome that the caller was told, and
+  /// kUnknown for a complete answer that could not be delivered.
   virtual Task<Outcome> Finish(CallResult result) = 0;
 };
 
--- a/packages/gateway/src/gateway/operator_api.cc
+++ b/packages/gateway/src/gateway/operator_api.cc
@@ -2,9 +2,11 @@
 
 #include <charconv>
 #include <optional>
+#include <tuple>
 
 #include "gateway/bearer_token.h"
 #include "gateway/responses.h"
+#include "platform/configuration_store.h"
 
 namespace qp {
 
@@ -126,14 +128,14 @@
     : service(target),
       token_sha256(std::move(digest)),
       events(sink),
-      ids(seed) {}
+      random(seed) {}
 
 Task<void> OperatorApi::Handle(http::Request request,
                                http::Responder& responder) {
   auto page = PublicPage(request, this->service);
   if (page) {
     http::Response response = std::move(*page);
-    co_await responder.Send(std::move(response));
+    std::ignore = co_await responder.Send(std::move(response));
     co_return;
   }
   if (!this->IsAuthorized(request)) {
@@ -141,11 +143,11 @@
     http::Response denied = Refused(http::Status::unauthorized, "access_denied",
                                     "the bearer token is missing or not known");
     denied.set(boost::beast::http::field::www_authenticate, "Bearer");
-    co_await responder.Send(std::move(denied));
+    std::ignore = co_await responder.Send(std::move(denied));
     co_return;
   }
   http::Response response = co_await this->Answer(request);
-  co_await responder.Send(std::move(response));
+  std::ignore = co_await responder.Send(std::move(response));
 }
 
 Task<http::Response> OperatorApi::Answer(const http::Request& request) {
@@ -214,7 +216,7 @@
   }
   std::string change_id = http::QueryParameter(request, "change_id");
   if (change_id.empty()) {
-    change_id = this->ids.Next();
+    change_id = ConfigurationStore::MakeChangeId(*version, this->random());
   }
   auto document = nlohmann::json::parse(request.body(), nullptr, false);
   if (document.is_discarded()) {
