Predict chains by the asymptotic bounds of closed queueing networks

The prediction at an idle chain assumed half a full batch per engine: with many slots it was several times the true time, so that deadlines could be refused that would have been met, and no answer would ever have corrected it. The new prediction is a bound from below until times are observed.

--- a/packages/policy/src/policy/chain_router.cc
+++ b/packages/policy/src/policy/chain_router.cc
@@ -17,9 +17,6 @@
 
 using Seconds = std::chrono::duration<double>;
 
-/// Part of a batch step that doesn't depend on the number of streams (reading
-/// the weights); the rest grows with the batch.
-constexpr double kFixedStepPart = 0.5;
 /// Streams per slot above which chains are compared by load instead of time.
 constexpr double kBusy = 0.7;
 /// Load, in streams per slot, that a certainly cached prefix may cost more.
@@ -81,12 +78,15 @@
                                1) /
            (this->group->last_layer - this->group->first_layer + 1);
   }
+  /// Time that a token takes without others.
   Seconds Step() const {
+    return Seconds(this->Part() * this->factor /
+                   this->group->TokensPerSecond());
+  }
+  /// Time that a token of each running stream takes together.
+  Seconds Round() const {
     const double slots = std::max<std::uint32_t>(this->engine->slots, 1);
-    const double batch = std::clamp(this->streams + 1, 1.0, slots);
-    const Seconds full{slots / this->group->TokensPerSecond()};
-    return full * this->Part() * this->factor *
-           (kFixedStepPart + (1 - kFixedStepPart) * batch / slots);
+    return this->Step() * std::min(this->streams + 1, slots);
   }
   Seconds Prefill(double prompt_tokens) const {
     return Seconds(prompt_tokens * (1 - this->belief) /
@@ -418,11 +418,17 @@
     return time;
   }
 
+  /// The time between tokens is the greater of the time on an idle chain and
+  /// the longest round of an engine on it (asymptotic bounds of closed queueing
+  /// networks, Denning and Buzen 1978). A bound from below: deadlines are not
+  /// refused for a prediction that no observation has confirmed.
   void Predict(Draft& draft) const {
     double wait = 0;
+    Seconds longest_round{};
     for (std::size_t i = 0; i < draft.stages.size(); ++i) {
       const Stage& stage = draft.stages[i];
       draft.between_tokens += stage.Step();
+      longest_round = std::max(longest_round, stage.Round());
       if (draft.stages.size() > 1) {
         draft.between_tokens += this->LinkTime(draft, i);
       }
@@ -432,6 +438,7 @@
       draft.load = std::max(draft.load, stage.Load());
       draft.belief += stage.belief / static_cast<double>(draft.stages.size());
     }
+    draft.between_tokens = std::max(draft.between_tokens, longest_round);
     // A queued stream starts when a running one has ended.
     draft.first_token +=
         draft.between_tokens *
@@ -598,9 +605,13 @@
   }
   const double deviation =
       Seconds(between_tokens) / Seconds(chain.predicted_between_tokens);
+  Duration steps{};
+  for (const auto& stage : chain.stages) {
+    steps += stage.predicted_step;
+  }
   for (const auto& stage : chain.stages) {
     const double part =
-        Seconds(stage.predicted_step) / Seconds(chain.predicted_between_tokens);
+        Seconds(stage.predicted_step) / Seconds(std::max(steps, Duration(1)));
     this->state->corrections[stage.engine].Add(part * std::log(deviation),
                                                this->state->latest);
   }
--- a/packages/policy/src/policy/chain_router.h
+++ b/packages/policy/src/policy/chain_router.h
@@ -76,7 +76,7 @@
   /// Learns from an observed time of one token on the engine's own stage.
   void OnObserved(std::string_view engine, Duration between_tokens);
   /// Learns from an observed time between tokens of the whole chain; the
-  /// stages share the deviation by their part of the predicted time.
+  /// stages share the deviation by their part of the predicted steps.
   void OnObserved(const Chain& chain, Duration between_tokens);
 
   /// Measured links; pairs of zones without one have an assumed link.
--- a/packages/policy/src/policy/pipeline_plan.cc
+++ b/packages/policy/src/policy/pipeline_plan.cc
@@ -50,8 +50,10 @@
         kinds.begin(), kinds.end(),
         [&name](const auto& candidate) { return candidate.name == name; });
     const bool known = kind != kinds.end() && kind->layer_tokens_per_second > 0;
+    const double slots =
+        std::max<std::uint32_t>(backends[group.members.front()].slots, 1);
     group.layer_tokens_per_second =
-        known ? kind->layer_tokens_per_second : kUnknownLayerTokensPerSecond;
+        known ? kind->layer_tokens_per_second : slots / kUnknownLayerSeconds;
     result.push_back(std::move(group));
   }
   return result;
--- a/packages/policy/src/policy/pipeline_plan.h
+++ b/packages/policy/src/policy/pipeline_plan.h
@@ -45,8 +45,9 @@
   std::vector<std::vector<GroupHop>> next;  ///< By group; empty at the end.
 };
 
-/// Assumed speed of an engine whose accelerator kind is not configured.
-inline constexpr double kUnknownLayerTokensPerSecond = 20000;
+/// Assumed time of one layer for a full batch on an engine whose accelerator
+/// kind is not configured.
+inline constexpr double kUnknownLayerSeconds = 50e-6;
 
 /// What the flow of a model runs through, apart from the engines.
 struct PipelineQuery {
