--- a/packages/cluster/src/cluster/budget_exchange.cc
+++ b/packages/cluster/src/cluster/budget_exchange.cc
@@ -17,11 +17,13 @@
 constexpr Duration kAgeUnit = std::chrono::milliseconds(100);
 constexpr std::uint32_t kMaxAgeUnits = 127;
 /// Kept beyond what is used, so that small variations refuse nobody.
-constexpr double kHeadroom = 0.1;
+constexpr double kHeadroom = 0.02;
 /// Grants of less than this are not worth a message.
 constexpr MicroUnits kLeastGrant = 20;
+/// An unacknowledged grant is sent again after this time.
+constexpr Duration kRepeatInterval = std::chrono::milliseconds(500);
 /// Receivers for one class and round.
-constexpr int kGrantsPerRound = 4;
+constexpr int kGrantsPerRound = 8;
 
 BudgetMember MemberOf(const MemberRecord& record) {
   return {record.identity.node, record.identity.incarnation};
@@ -103,7 +105,10 @@
     return;
   }
   this->next_round = now + kRoundInterval;
-  this->Repeat(members, out);
+  if (!this->next_repeat || now >= *this->next_repeat) {
+    this->next_repeat = now + kRepeatInterval;
+    this->Repeat(members, out);
+  }
   if (this->versions.empty()) {
     return;
   }
--- a/packages/cluster/src/cluster/budget_exchange.h
+++ b/packages/cluster/src/cluster/budget_exchange.h
@@ -25,7 +25,7 @@
 /// shortage, and turns shares into rates.
 class BudgetExchange {
  public:
-  static constexpr Duration kRoundInterval = std::chrono::milliseconds(500);
+  static constexpr Duration kRoundInterval = std::chrono::milliseconds(200);
   /// Reports of demand and shortage are used for this time.
   static constexpr Duration kDemandAge = std::chrono::seconds(3);
   /// Own shortages and those of other members in a digest.
@@ -110,6 +110,7 @@
   std::map<std::string, ReportedDemand, std::less<>> demands;
   std::map<ShortageKey, Shortage> shortages;
   std::optional<TimePoint> next_round;
+  std::optional<TimePoint> next_repeat;
 };
 
 }  // namespace qp
--- a/packages/cluster/src/cluster/cluster_node.cc
+++ b/packages/cluster/src/cluster/cluster_node.cc
@@ -4,6 +4,7 @@
 #include <functional>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <unordered_map>
 #include <utility>
 
 #include "cluster/budget_exchange.h"
@@ -171,7 +172,7 @@
     this->configuration =
         std::make_shared<const Configuration>(std::move(next));
     this->exchange.SetConfiguration(this->configuration);
-    this->rate_agreement = {};
+    this->RestartRateAgreement();
     this->gossip.RequestRound();
     this->events.Record(
         EventId::kConfigurationReceived,
@@ -188,6 +189,7 @@
     }
     this->exchange.ledger().Adopt(std::move(generation), now);
     this->generation_agreement = {};
+    this->RestartRateAgreement();
     this->gossip.RequestRound();
     this->events.Record(EventId::kBudgetGeneration,
                         {{"generation", std::to_string(number)}});
@@ -259,6 +261,11 @@
     return agreement.Update(members, knowing, now);
   }
 
+  void RestartRateAgreement() {
+    this->rate_agreement = {};
+    this->active_rate_agreement = {};
+  }
+
   void UpdateAgreements(TimePoint now) {
     policy::BudgetLedger& ledger = this->exchange.ledger();
     if (ledger.IsWaiting()) {
@@ -268,15 +275,22 @@
           [number](const MemberRecord& record) {
             return record.generation >= number;
           });
-      ledger.Activate(stopped, now);
+      if (ledger.Activate(stopped, now)) {
+        this->RestartRateAgreement();
+      }
     }
     if (this->exchange.HasUnsettledRates()) {
       const std::uint64_t version = this->configurations.version();
-      const bool settled = this->UpdateAgreement(
-          this->rate_agreement, this->Base(), now,
-          [version](const MemberRecord& record) {
-            return record.configuration_version >= version;
-          });
+      const auto knows = [version](const MemberRecord& record) {
+        return record.configuration_version >= version;
+      };
+      // While a generation waits, a daemon that has not learned of it is
+      // confirmed by a majority of the one before.
+      const bool known =
+          this->UpdateAgreement(this->rate_agreement, this->Base(), now, knows);
+      const bool active = this->UpdateAgreement(
+          this->active_rate_agreement, ledger.Active().members, now, knows);
+      const bool settled = known && active;
       if (settled) {
         this->exchange.SettleRates(version);
       }
@@ -328,7 +342,10 @@
   }
 
   void UpdateConfirmation(TimePoint now) {
-    this->Confirm(this->ConfirmedByMembers(now));
+    if (now >= this->next_confirmation) {
+      this->next_confirmation = now + Gossip::kRoundInterval;
+      this->Confirm(this->ConfirmedByMembers(now));
+    }
     const bool confirmed = this->IsConfirmed(now);
     if (confirmed == this->was_confirmed) {
       return;
@@ -360,6 +377,31 @@
     return members;
   }
 
+  // Duties.
+
+  /// Whether this daemon observes the backend server. Kept until the members
+  /// change, since callers ask for every backend server each second.
+  bool HasDuty(NameHash backend) {
+    if (this->duties_of != this->membership.composition()) {
+      this->duties_of = this->membership.composition();
+      this->duties.clear();
+      this->present = {HashName(this->identity.node)};
+      for (const auto& [node, record] : this->membership.records()) {
+        if (IsPresent(record.state)) {
+          this->present.push_back(node);
+        }
+      }
+    }
+    const auto [at, added] = this->duties.try_emplace(backend, false);
+    if (added) {
+      const auto observers =
+          ChooseByRendezvous(backend, this->present, kObservers);
+      at->second = std::find(observers.begin(), observers.end(),
+                             this->present.front()) != observers.end();
+    }
+    return at->second;
+  }
+
   NodeIdentity identity;
   PeerLink& link;
   Timeline* timeline;
@@ -372,13 +414,18 @@
   Gossip gossip;
   BudgetExchange exchange;
   VersionAgreement generation_agreement;
-  VersionAgreement rate_agreement;
+  VersionAgreement rate_agreement;         ///< Of the known generation.
+  VersionAgreement active_rate_agreement;  ///< Of the active generation.
   std::shared_ptr<const Configuration> configuration;
   std::vector<Contact> contacts;
   std::optional<TimePoint> started_at;
   std::optional<TimePoint> confirmed_at;
   std::optional<TimePoint> leaving_at;
+  TimePoint next_confirmation{};
   bool was_confirmed = false;
+  std::uint64_t duties_of = 0;  ///< Composition of the members.
+  std::vector<NameHash> present;
+  std::unordered_map<NameHash, bool> duties;
 };
 
 ClusterNode::ClusterNode(NodeIdentity identity, std::vector<std::string> seeds,
@@ -492,7 +539,8 @@
           : std::chrono::duration_cast<std::chrono::milliseconds>(
                 now.time_since_epoch())
                 .count();
-  this->state->observations.Publish(std::move(observation), SecondsOf(millis));
+  this->state->observations.Publish(std::move(observation), SecondsOf(millis),
+                                    this->state->gossip.ObservationInterval());
 }
 
 std::vector<Observation> ClusterNode::Observations(TimePoint) const {
@@ -500,17 +548,7 @@
 }
 
 bool ClusterNode::ShouldObserve(std::string_view backend) const {
-  const State& node = *this->state;
-  const NameHash self = HashName(node.identity.node);
-  std::vector<NameHash> nodes = {self};
-  for (const auto& [hash, record] : node.membership.records()) {
-    if (IsPresent(record.state)) {
-      nodes.push_back(hash);
-    }
-  }
-  const auto observers =
-      ChooseByRendezvous(HashName(backend), nodes, kObservers);
-  return std::find(observers.begin(), observers.end(), self) != observers.end();
+  return this->state->HasDuty(HashName(backend));
 }
 
 void ClusterNode::SetBudgetGeneration(BudgetGeneration generation,
--- a/packages/cluster/src/cluster/gossip.cc
+++ b/packages/cluster/src/cluster/gossip.cc
@@ -14,11 +14,14 @@
 /// Urgent news is sent this many times more, against lost messages.
 constexpr std::uint8_t kUrgentRepeats = 2;
 /// Beyond a full mesh, a member's heartbeat is passed on every so many counts
-/// (3 s), which keeps its age below the confirmation period on all paths.
-constexpr std::uint32_t kRelayedHeartbeats = 6;
+/// (5 s). With the time on the way, the median age stays below the
+/// confirmation period; 380 members x 12 bytes x 4 links / 5 s are 3.6 KB/s.
+constexpr std::uint32_t kRelayedHeartbeats = 10;
 /// In a full mesh, an observer reports to all itself; others pass on only what
 /// a peer has never had.
 constexpr Duration kOwnObservationAge = std::chrono::seconds(5);
+constexpr Duration kMeshObservationInterval = std::chrono::seconds(2);
+constexpr Duration kRelayedObservationInterval = std::chrono::seconds(10);
 constexpr std::size_t kEntryBytes = 12;
 constexpr std::size_t kDetailEstimate = 80;     // bytes, one description
 constexpr std::size_t kFixedDigestBytes = 90;   // header and fixed fields
@@ -146,6 +149,11 @@
       });
 }
 
+Duration Gossip::ObservationInterval() const {
+  return this->IsFullMesh() ? kMeshObservationInterval
+                            : kRelayedObservationInterval;
+}
+
 std::size_t Gossip::EstimateStateBytes() const {
   std::size_t bytes = sizeof(*this);
   for (const auto& [address, peer] : this->peers) {
@@ -180,6 +188,7 @@
       nodes.push_back({node, HashName(record.identity.availability_zone)});
     }
   }
+  this->full_mesh = nodes.size() <= kFullMeshNodes;
   std::unordered_map<NameHash, TimePoint> next;
   for (const NameHash node : ChooseNeighbours(HashName(self.node), nodes)) {
     const auto previous = this->neighbours.find(node);
@@ -553,8 +562,6 @@
   return kBytesPerSecond / (count * kRoundsPerSecond);
 }
 
-bool Gossip::IsFullMesh() const {
-  return this->neighbours.size() < kFullMeshNodes;
-}
+bool Gossip::IsFullMesh() const { return this->full_mesh; }
 
 }  // namespace qp
--- a/packages/cluster/src/cluster/gossip.h
+++ b/packages/cluster/src/cluster/gossip.h
@@ -32,7 +32,7 @@
   static constexpr Duration kRoundInterval = std::chrono::milliseconds(500);
   /// For regular digests to all neighbours, together. The bound for all
   /// messages is 8 KB/s; the rest is for urgent news and configurations.
-  static constexpr std::size_t kBytesPerSecond = 6200;
+  static constexpr std::size_t kBytesPerSecond = 7000;
   /// For details that a peer does not know, per digest and beside the above,
   /// so that a daemon which joins learns the members within seconds.
   static constexpr std::size_t kDetailBytes = 4096;
@@ -58,6 +58,11 @@
   /// for kAnswerTimeout.
   bool HasAskedAllPeers(TimePoint now) const;
 
+  /// Interval at which an observation is spread anew. Beyond a full mesh it
+  /// crosses about 3 to 5 links a node: 600 workers x 12 bytes x 4 / 10 s are
+  /// 2.9 KB/s.
+  Duration ObservationInterval() const;
+
   std::size_t EstimateStateBytes() const;
 
  private:
@@ -144,7 +149,8 @@
   std::mt19937_64 random;
   std::unordered_map<std::string, Peer> peers;
   std::unordered_map<NameHash, TimePoint> neighbours;  ///< Since when.
-  std::uint64_t composition = 0;
+  bool full_mesh = true;
+  std::uint64_t composition = 0;  ///< Of the members, for `neighbours`.
   std::uint32_t heartbeat = 0;
   std::uint32_t first_sequence;
   std::uint64_t rounds = 0;
--- a/packages/cluster/src/cluster/observation_spread.cc
+++ b/packages/cluster/src/cluster/observation_spread.cc
@@ -42,7 +42,8 @@
 
 }  // namespace
 
-void ObservationSpread::Publish(Observation observation, std::uint32_t floor) {
+void ObservationSpread::Publish(Observation observation, std::uint32_t floor,
+                                Duration interval) {
   ObservationRecord& record = this->RecordOf(HashName(observation.backend));
   if (observation.incarnation < record.value.incarnation) {
     return;
@@ -50,13 +51,23 @@
   const bool same = observation.incarnation == record.value.incarnation;
   const bool was_leaving = record.value.leaving && same;
   const bool became_leaving = observation.leaving && !was_leaving;
-  record.own_at = observation.observed_at;
+  const bool reachability = observation.reachable != record.value.reachable;
+  const std::uint8_t previous_tag = record.detail_tag;
   record.value = std::move(observation);
   record.value.leaving = was_leaving;
-  record.counter = std::max(record.counter + 1, floor);
   record.detail_tag = TagOf(DetailFor(record));
+  const bool changed = became_leaving || reachability || !same ||
+                       record.detail_tag != previous_tag;
+  const TimePoint now = record.value.observed_at;
+  if (changed || record.counter == 0 || now >= record.spread_at + interval) {
+    record.counter = std::max(record.counter + 1, floor);
+    record.spread_at = now;
+    record.own_at = now;
+  }
   if (became_leaving) {
     this->MarkLeaving(record);
+  } else if (reachability) {
+    this->MarkUrgent(record);
   }
 }
 
@@ -88,8 +99,12 @@
     record.counter = entry.counter;
     record.value.running = DecodeLoad(entry.running);
     record.value.queued = DecodeLoad(entry.queued);
-    record.value.reachable = entry.reachable;
+    if (record.value.reachable != entry.reachable) {
+      record.value.reachable = entry.reachable;
+      this->MarkUrgent(record);
+    }
     record.value.observed_at = now - entry.age * kAgeUnit;
+    record.spread_at = record.value.observed_at;
   }
   return true;
 }
@@ -162,6 +177,10 @@
 
 void ObservationSpread::MarkLeaving(ObservationRecord& record) {
   record.value.leaving = true;
+  this->MarkUrgent(record);
+}
+
+void ObservationSpread::MarkUrgent(ObservationRecord& record) {
   ++record.urgent_revision;
   ++this->urgent_changes;
 }
--- a/packages/cluster/src/cluster/observation_spread.h
+++ b/packages/cluster/src/cluster/observation_spread.h
@@ -16,8 +16,9 @@
   Observation value;
   std::uint32_t counter = 0;
   std::uint8_t detail_tag = 0;
-  std::uint32_t urgent_revision = 0;  ///< Changes with `leaving`.
-  std::optional<TimePoint> own_at;    ///< Latest observation made here.
+  std::uint32_t urgent_revision = 0;  ///< With availability.
+  std::optional<TimePoint> own_at;    ///< Latest spread from here.
+  TimePoint spread_at{};              ///< Of the observation with `counter`.
 };
 
 /// Current observations, own and received, merged by newest. Order is decided
@@ -29,8 +30,10 @@
   static constexpr Duration kForgetAfter = std::chrono::seconds(60);
 
   /// `floor` bounds the counter from below, so that an observer that has just
-  /// started is not behind; seconds of wall time.
-  void Publish(Observation observation, std::uint32_t floor);
+  /// started is not behind; seconds of wall time. The counter grows, and the
+  /// observation is spread, if the last spread one is `interval` old or if the
+  /// backend server's availability has changed.
+  void Publish(Observation observation, std::uint32_t floor, Duration interval);
 
   /// Merges a received entry; `detail` is null if the digest has none for it.
   /// False if the details are missing.
@@ -61,6 +64,7 @@
 
  private:
   ObservationRecord& RecordOf(NameHash backend);
+  void MarkUrgent(ObservationRecord& record);
   void MarkLeaving(ObservationRecord& record);
 
   std::unordered_map<NameHash, ObservationRecord> backends;
--- a/packages/cluster/src/cluster/version_agreement.cc
+++ b/packages/cluster/src/cluster/version_agreement.cc
@@ -4,7 +4,10 @@
 
 bool VersionAgreement::Update(std::size_t members, std::size_t knowing,
                               TimePoint now) {
-  if (knowing >= members) {
+  if (!this->began_at) {
+    this->began_at = now;
+  }
+  if (knowing >= members && now >= *this->began_at + kWait) {
     return true;
   }
   if (!this->half_at && 2 * knowing >= members) {
--- a/packages/cluster/src/cluster/version_agreement.h
+++ b/packages/cluster/src/cluster/version_agreement.h
@@ -17,11 +17,14 @@
  public:
   static constexpr Duration kWait = policy::BudgetLedger::kWaitBeforeUse;
 
-  /// Takes in that `knowing` of `members` know the version. True from when
-  /// all know it, or kWait after half of them did.
+  /// Takes in that `knowing` of `members` know the version. True from kWait
+  /// after half of them did or, if all know it, after the first call. Even
+  /// then, a daemon outside the members may have read the table just before
+  /// the version was written, and stays confirmed for a while.
   bool Update(std::size_t members, std::size_t knowing, TimePoint now);
 
  private:
+  std::optional<TimePoint> began_at;
   std::optional<TimePoint> half_at;
 };
 
