Use no share before the first configuration has settled

Change: a starting daemon uses no share until its first configuration settles, except in the first generation, before which there were no shares.

--- a/packages/cluster/src/cluster/budget_exchange.cc
+++ b/packages/cluster/src/cluster/budget_exchange.cc
@@ -48,6 +48,7 @@
 }
 
 void BudgetExchange::SettleRates(std::uint64_t version) {
+  this->settled_once = true;
   std::erase_if(this->versions, [version](const auto& configuration) {
     return configuration->version < version;
   });
@@ -175,7 +176,7 @@
 BudgetsView BudgetExchange::View() const {
   BudgetsView view;
   view.generation = this->book.ActiveGeneration();
-  if (this->versions.empty()) {
+  if (this->versions.empty() || !this->settled_once) {
     return view;
   }
   for (const RequestClass& request_class : this->versions.back()->classes) {
--- a/packages/cluster/src/cluster/budget_exchange.h
+++ b/packages/cluster/src/cluster/budget_exchange.h
@@ -48,7 +48,14 @@
   void SettleRates(std::uint64_t version);
 
   /// Whether a version before the current one may still be in use.
-  bool HasUnsettledRates() const { return this->versions.size() > 1; }
+  bool HasUnsettledRates() const {
+    return !this->versions.empty() &&
+           (!this->settled_once || this->versions.size() > 1);
+  }
+
+  /// Whether no version has settled here yet. The rates before are not known
+  /// then, so no share is used.
+  bool IsFirstConfiguration() const { return !this->settled_once; }
 
   void ReportDemand(std::string_view class_name, const ClassDemand& demand,
                     TimePoint now);
@@ -107,6 +114,7 @@
   policy::BudgetLedger book;
   /// Versions that may be in use, ascending; the last one applies here.
   std::vector<std::shared_ptr<const Configuration>> versions;
+  bool settled_once = false;
   std::map<std::string, ReportedDemand, std::less<>> demands;
   std::map<ShortageKey, Shortage> shortages;
   std::optional<TimePoint> next_round;
--- a/packages/cluster/src/cluster/cluster_node.cc
+++ b/packages/cluster/src/cluster/cluster_node.cc
@@ -237,28 +237,30 @@
     return gone && now >= silent_since + kSilentBeforeRemoval;
   }
 
-  /// Counts the members of `base` that take part and those of them for which
-  /// `knows` holds.
-  bool UpdateAgreement(VersionAgreement& agreement,
-                       const std::vector<BudgetMember>& base, TimePoint now,
-                       const std::function<bool(const MemberRecord&)>& knows) {
+  /// How many of the members that take part know a version.
+  struct Knowledge {
     std::size_t members = 0;
     std::size_t knowing = 0;
+  };
+
+  Knowledge Count(const std::vector<BudgetMember>& base, TimePoint now,
+                  const std::function<bool(const MemberRecord&)>& knows) const {
+    Knowledge count;
     for (const BudgetMember& member : base) {
       const MemberRecord* record = this->membership.FindByName(member.node);
       if (record != nullptr && record->left) {
         continue;
       }
-      ++members;
+      ++count.members;
       const bool self = member.node == this->identity.node;
       const bool informed =
           record != nullptr &&
           record->identity.incarnation >= member.incarnation && knows(*record);
       if (self || informed || this->IsRemoved(member, record, now)) {
-        ++knowing;
+        ++count.knowing;
       }
     }
-    return agreement.Update(members, knowing, now);
+    return count;
   }
 
   void RestartRateAgreement() {
@@ -267,33 +269,50 @@
   }
 
   void UpdateAgreements(TimePoint now) {
-    policy::BudgetLedger& ledger = this->exchange.ledger();
-    if (ledger.IsWaiting()) {
-      const std::uint64_t number = ledger.KnownGeneration();
-      const bool stopped = this->UpdateAgreement(
-          this->generation_agreement, ledger.Known().previous_members, now,
-          [number](const MemberRecord& record) {
-            return record.generation >= number;
-          });
-      if (ledger.Activate(stopped, now)) {
-        this->RestartRateAgreement();
-      }
+    if (this->exchange.ledger().IsWaiting()) {
+      this->UpdateGeneration(now);
     }
     if (this->exchange.HasUnsettledRates()) {
-      const std::uint64_t version = this->configurations.version();
-      const auto knows = [version](const MemberRecord& record) {
-        return record.configuration_version >= version;
-      };
-      // While a generation waits, a daemon that has not learned of it is
-      // confirmed by a majority of the one before.
-      const bool known =
-          this->UpdateAgreement(this->rate_agreement, this->Base(), now, knows);
-      const bool active = this->UpdateAgreement(
-          this->active_rate_agreement, ledger.Active().members, now, knows);
-      const bool settled = known && active;
-      if (settled) {
-        this->exchange.SettleRates(version);
-      }
+      this->UpdateRates(now);
+    }
+  }
+
+  void UpdateGeneration(TimePoint now) {
+    policy::BudgetLedger& ledger = this->exchange.ledger();
+    const std::uint64_t number = ledger.KnownGeneration();
+    const Knowledge count = this->Count(ledger.Known().previous_members, now,
+                                        [number](const MemberRecord& record) {
+                                          return record.generation >= number;
+                                        });
+    const bool stopped =
+        this->generation_agreement.Update(count.members, count.knowing, now);
+    if (ledger.Activate(stopped, now)) {
+      this->RestartRateAgreement();
+    }
+  }
+
+  void UpdateRates(TimePoint now) {
+    const policy::BudgetLedger& ledger = this->exchange.ledger();
+    const std::uint64_t version = this->configurations.version();
+    const auto knows = [version](const MemberRecord& record) {
+      return record.configuration_version >= version;
+    };
+    // While a generation waits, a daemon that has not learned of it is
+    // confirmed by a majority of the one before.
+    const Knowledge known = this->Count(this->Base(), now, knows);
+    const Knowledge active = this->Count(ledger.Active().members, now, knows);
+    const bool known_settled =
+        this->rate_agreement.Update(known.members, known.knowing, now);
+    const bool active_settled =
+        this->active_rate_agreement.Update(active.members, active.knowing, now);
+    // The daemons of the first generation start together and hold no shares
+    // from before.
+    const bool starting = this->exchange.IsFirstConfiguration() &&
+                          ledger.ActiveGeneration() <= 1 &&
+                          known.knowing == known.members &&
+                          active.knowing == active.members;
+    if (starting || (known_settled && active_settled)) {
+      this->exchange.SettleRates(version);
     }
   }
 
--- a/packages/cluster/src/cluster/cluster_node.h
+++ b/packages/cluster/src/cluster/cluster_node.h
@@ -125,7 +125,10 @@
 
   MembersView Members(TimePoint now) const;
 
-  /// Usable shares: empty unless confirmed.
+  /// Usable shares: empty unless confirmed. A class is held to the lower of
+  /// its old and new rate until the members agree on the new configuration
+  /// (about 10 s); a daemon that has just started knows no old rate and uses
+  /// no share until then, except in the first generation.
   BudgetsView Budgets(TimePoint now) const;
 
   const ClusterCounters& counters() const;
