Report used rates to the budget exchange

Cause: the demo refused 4 of 9 questions at a seventh of the target: daemons reported a used rate of 0, so each gave its whole share to the first daemon with a shortage, and shares chased each other. Ruled out: too small a burst (the refused daemons' shares were 0 in /v1/status). Change: admission counts what it admits in average requests of the class; the daemon reports it.

--- a/packages/policy/src/policy/admission.cc
+++ b/packages/policy/src/policy/admission.cc
@@ -21,8 +21,8 @@
 /// A small bucket loses rate to the spacing of random arrivals; two requests
 /// keep that loss below the 5% that a workspace may fall short.
 constexpr double kLeastBurstRequests = 2;
-/// Time constant of the count of refusals.
-constexpr Seconds kRefusalMemory{3.0};
+/// Time constant of the counts of admitted and refused requests.
+constexpr Seconds kDemandMemory{3.0};
 constexpr Seconds kLeastRetryAfter{0.5};
 constexpr Seconds kMostRetryAfter{30.0};
 /// A class with fewer refusals of late than this asks for no more.
@@ -46,10 +46,10 @@
 
   double At(TimePoint now) const {
     const Seconds age = now - this->counted_at;
-    return this->count * std::exp(-age / kRefusalMemory);
+    return this->count * std::exp(-age / kDemandMemory);
   }
-  void Add(TimePoint now) {
-    this->count = this->At(now) + 1;
+  void Add(TimePoint now, double amount) {
+    this->count = this->At(now) + amount;
     this->counted_at = now;
   }
 };
@@ -86,6 +86,8 @@
                      ? "service:" + request_class.service
                      : "model:" + request_class.model;
     this->rate = {share.requests_per_second, share.tokens_per_second};
+    this->target = {request_class.target.requests_per_second,
+                    request_class.target.tokens_per_second};
     this->limited = {request_class.target.requests_per_second > 0,
                      request_class.target.tokens_per_second > 0};
     for (std::size_t d = 0; d < kDimensions; ++d) {
@@ -209,8 +211,18 @@
 
   double RequestRate() const { return this->rate[0]; }
 
+  /// Size of `cost` in average requests of the class, by whichever limit it
+  /// uses most of.
+  double AverageRequests(const Amounts& cost) const {
+    const double unit = this->target[0] > 0 && this->target[1] > 0
+                            ? this->target[1] / this->target[0]
+                            : 0;
+    return unit > 0 ? std::max(cost[0], cost[1] / unit) : cost[0];
+  }
+
   std::string pool;
   DecayingCount refusals;
+  DecayingCount admissions;
   bool configured = false;
   double shortage_elsewhere = 0;  ///< Requests a second.
 
@@ -301,6 +313,7 @@
     return amount - kept;
   }
 
+  Amounts target{};  ///< Of the class over all daemons.
   Amounts rate{};
   std::array<bool, kDimensions> limited{};
   Amounts spare{};
@@ -397,18 +410,19 @@
     return {RefusalReason::kDeadlineTooShort,
             this->state->Spread(kLeastRetryAfter, kLeastRetryAfter)};
   }
+  const Amounts cost{1, request.expected_tokens};
   if (!buckets.HasShare()) {
-    buckets.refusals.Add(now);
+    buckets.refusals.Add(now, buckets.AverageRequests(cost));
     return {RefusalReason::kClassOverTarget,
             this->state->Spread(kLeastRetryAfter, kLeastRetryAfter)};
   }
-  const Amounts cost{1, request.expected_tokens};
   auto& workspace = buckets.Enter(request.workspace, now);
   if (buckets.Covers(workspace, cost)) {
     buckets.Charge(workspace, cost);
+    buckets.admissions.Add(now, buckets.AverageRequests(cost));
     return {};
   }
-  buckets.refusals.Add(now);
+  buckets.refusals.Add(now, buckets.AverageRequests(cost));
   const auto reason = buckets.OthersCover(cost)
                           ? RefusalReason::kWorkspaceOverShare
                           : RefusalReason::kClassOverTarget;
@@ -439,11 +453,18 @@
   }
 }
 
+double Admission::Used(std::string_view class_name, TimePoint now) const {
+  const auto found = this->state->classes.find(class_name);
+  return found == this->state->classes.end()
+             ? 0
+             : found->second.admissions.At(now) / kDemandMemory.count();
+}
+
 double Admission::Shortage(std::string_view class_name, TimePoint now) const {
   const auto found = this->state->classes.find(class_name);
   return found == this->state->classes.end()
              ? 0
-             : found->second.refusals.At(now) / kRefusalMemory.count();
+             : found->second.refusals.At(now) / kDemandMemory.count();
 }
 
 }  // namespace qp::policy
--- a/packages/policy/src/policy/admission.h
+++ b/packages/policy/src/policy/admission.h
@@ -65,8 +65,12 @@
   void SetShortageElsewhere(std::string_view class_name,
                             double requests_per_second);
 
-  /// Requests a second that were refused over the last seconds for lack of
-  /// share; the shortage that the budget exchange reports.
+  /// Average requests a second admitted over the last seconds. A request
+  /// with more tokens than the class's average counts as more than one.
+  double Used(std::string_view class_name, TimePoint now) const;
+
+  /// As above, refused for lack of share; the shortage that the budget
+  /// exchange reports.
   double Shortage(std::string_view class_name, TimePoint now) const;
 
  private:
