--- a/tests/process/processes.py
+++ b/tests/process/processes.py
@@ -118,6 +118,9 @@
         arguments = [program, command]
         for option, value in options.items():
             arguments += [f"--{option}", str(value)]
+        self.executions_path = os.path.join(directory, name + ".executions")
+        arguments += ["--executions", self.executions_path]
+        self.options = options
         super().__init__(name, arguments, directory)
         self.address = self.wait_for_line("listening ")
 
@@ -130,7 +133,14 @@
         return document
 
     def record(self):
-        return exchange_json(self.address, "GET", "/v1/standin/record")[1]
+        """What it ran; also of a killed stand-in, from its file."""
+        if self.running():
+            return exchange_json(self.address, "GET", "/v1/standin/record")[1]
+        with open(self.executions_path) as file:
+            # The last line may have been cut short by the kill.
+            lines = [line for line in file if line.endswith("\n")]
+        executions = [json.loads(line) for line in lines]
+        return {**self.options, "executions": executions}
 
 
 class ProcessGroup:
@@ -138,6 +148,7 @@
 
     def __init__(self, build_dir):
         self.build_dir = build_dir
+        self.keep_logs = False
         self.directory = tempfile.mkdtemp(prefix="qp-processes-")
         self.processes = []
 
@@ -153,8 +164,7 @@
             process.child.stdout.close()
             process.reader.join(STOP_BOUND_S)
             process.log.close()
-        # The logs stay for a look after a failure.
-        if not any(failure):
+        if not any(failure) and not self.keep_logs:
             shutil.rmtree(self.directory, ignore_errors=True)
 
     def program(self, name):
