Resolve operators' changes by the id that the operator chose

Cause: the daemon ignored the change id of the request and stored its own. After a lost answer, quetzalpostctl resolved its own id and would have been told that another change made the version, although its change was in force. The time line had two JSON forms, one in the daemon and one in the gateway. Change: the daemon stores the id it is given; OperatorApi refuses ids that do not begin with the expected version, since the store cannot resolve them. One JSON form of the time line, in gateway/timeline_json.h. history prints one row for each version.

--- a/packages/daemon/src/daemon/daemon_operator_service.cc
+++ b/packages/daemon/src/daemon/daemon_operator_service.cc
@@ -8,6 +8,7 @@
 #include "daemon/cluster_handle.h"
 #include "daemon/report_json.h"
 #include "foundation/wait.h"
+#include "gateway/timeline_json.h"
 #include "platform/configuration_store.h"
 #include "platform/usage_store.h"
 
@@ -54,9 +55,8 @@
 
 }  // namespace
 
-DaemonOperatorService::DaemonOperatorService(Parts service_parts,
-                                             std::uint64_t seed)
-    : parts(std::move(service_parts)), random(seed) {}
+DaemonOperatorService::DaemonOperatorService(Parts service_parts)
+    : parts(std::move(service_parts)) {}
 
 Result<json> DaemonOperatorService::CurrentConfiguration() {
   const auto snapshot = this->parts.blackboard.configuration.Read();
@@ -68,14 +68,12 @@
 
 Task<ChangeReport> DaemonOperatorService::Change(json document,
                                                  std::uint64_t expected_version,
-                                                 std::string) {
+                                                 std::string change_id) {
   std::vector<Mistake> mistakes;
   Configuration next = ReadConfiguration(document, mistakes);
   if (!mistakes.empty()) {
     co_return Invalid(mistakes);
   }
-  const std::string change_id =
-      ConfigurationStore::MakeChangeId(expected_version, this->random());
   next.change_id = change_id;
   next.version = expected_version + 1;
   const StoreReport stored =
@@ -173,7 +171,7 @@
 }
 
 json DaemonOperatorService::TimelineReport() {
-  return ToJson(std::span<const Event>(this->parts.timeline.Snapshot()));
+  return TimelineToJson(this->parts.timeline.Snapshot());
 }
 
 Task<Result<json>> DaemonOperatorService::Forecast(json what_if) {
--- a/packages/daemon/src/daemon/daemon_operator_service.h
+++ b/packages/daemon/src/daemon/daemon_operator_service.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <functional>
-#include <random>
 
 #include "blackboard/blackboard.h"
 #include "foundation/clock.h"
@@ -35,7 +34,7 @@
     std::function<void()> begin_drain;
   };
 
-  DaemonOperatorService(Parts parts, std::uint64_t seed);
+  explicit DaemonOperatorService(Parts parts);
 
   Result<nlohmann::json> CurrentConfiguration() override;
   Task<ChangeReport> Change(nlohmann::json document,
@@ -56,7 +55,6 @@
   ChangeReport Refused(const nlohmann::json& document, ChangeReport report);
 
   Parts parts;
-  std::mt19937_64 random;
 };
 
 }  // namespace qp
--- a/packages/daemon/src/daemon/report_json.cc
+++ b/packages/daemon/src/daemon/report_json.cc
@@ -64,23 +64,4 @@
   return {{"generation", budgets.generation}, {"shares", std::move(shares)}};
 }
 
-json ToJson(std::span<const Event> events) {
-  json array = json::array();
-  for (const Event& event : events) {
-    json fields = json::object();
-    for (const EventField& field : event.fields) {
-      fields[field.name] = field.value;
-    }
-    const EventInfo& info = InfoOf(event.id);
-    array.push_back({{"event", static_cast<int>(event.id)},
-                     {"name", info.name},
-                     {"severity", ToString(info.severity)},
-                     {"node", event.node},
-                     {"time_ms", event.time.millis},
-                     {"counter", event.time.counter},
-                     {"fields", std::move(fields)}});
-  }
-  return array;
-}
-
 }  // namespace qp
--- a/packages/gateway/src/gateway/ctl/commands.cc
+++ b/packages/gateway/src/gateway/ctl/commands.cc
@@ -59,12 +59,6 @@
   return CodeOf(error);
 }
 
-/// A read has no effect that could be unknown.
-ExitCode FailRead(Session& session, const Error& error) {
-  const ExitCode code = Fail(session, error);
-  return code == ExitCode::kUnknown ? ExitCode::kUnreachable : code;
-}
-
 std::string MessageOf(const OperatorReply& reply) {
   const auto body = nlohmann::json::parse(reply.body, nullptr, false);
   const bool has_message =
@@ -80,12 +74,16 @@
                                             : ExitCode::kRefused;
 }
 
-/// Whether the request may go to another daemon after `error`.
-bool MayGoOn(const OperatorRequest& request, const Error& error) {
-  const bool nothing_sent = error.code == ErrorCode::kUnavailable;
-  const bool repeatable =
-      request.verb == http::Verb::get || request.target == "/v1/forecast";
-  return nothing_sent || repeatable;
+/// Whether a request has no effect, so that it may be sent again.
+bool IsRead(const OperatorRequest& request) {
+  return request.verb == http::Verb::get || request.target == "/v1/forecast";
+}
+
+ExitCode FailExchange(Session& session, const OperatorRequest& request,
+                      const Error& error) {
+  const ExitCode code = Fail(session, error);
+  return code == ExitCode::kUnknown && IsRead(request) ? ExitCode::kUnreachable
+                                                       : code;
 }
 
 /// First answer of the daemons, in order; the last error if none answers.
@@ -94,30 +92,46 @@
   Result<OperatorReply> reply = Error{};
   for (const std::string& daemon : line.daemons) {
     reply = session.transport.Exchange(daemon, request);
-    if (reply || !MayGoOn(request, reply.error())) {
+    const bool may_go_on =
+        !reply &&
+        (IsRead(request) || reply.error().code == ErrorCode::kUnavailable);
+    if (!may_go_on) {
       break;
     }
   }
   return reply;
 }
 
-/// Prints the JSON document that answers `request`.
-ExitCode ShowReport(const CommandLine& line, Session& session,
-                    const OperatorRequest& request) {
+/// The JSON document that answers a request, or the exit code without one.
+struct Fetched {
+  ExitCode code = ExitCode::kOk;
+  nlohmann::json report;
+};
+
+Fetched Fetch(const CommandLine& line, Session& session,
+              const OperatorRequest& request) {
   const Result<OperatorReply> reply = Exchange(line, session, request);
   if (!reply) {
-    return FailRead(session, reply.error());
+    return {FailExchange(session, request, reply.error()), nullptr};
   }
   if (reply.value().status >= kFirstErrorStatus) {
-    return FailReply(session, reply.value());
+    return {FailReply(session, reply.value()), nullptr};
   }
-  const auto report = nlohmann::json::parse(reply.value().body, nullptr, false);
+  auto report = nlohmann::json::parse(reply.value().body, nullptr, false);
   if (report.is_discarded()) {
     session.err << "error: the daemon's answer is not valid JSON\n";
-    return ExitCode::kUnreachable;
+    return {ExitCode::kUnreachable, nullptr};
   }
-  Print(line, session, report);
-  return ExitCode::kOk;
+  return {ExitCode::kOk, std::move(report)};
+}
+
+ExitCode ShowReport(const CommandLine& line, Session& session,
+                    const OperatorRequest& request) {
+  const Fetched fetched = Fetch(line, session, request);
+  if (fetched.code == ExitCode::kOk) {
+    Print(line, session, fetched.report);
+  }
+  return fetched.code;
 }
 
 ExitCode Show(const CommandLine& line, Session& session, std::string target) {
@@ -156,7 +170,7 @@
       http::Verb::get, "/v1/configuration/changes/" + UrlEncode(change_id), ""};
   const Result<OperatorReply> reply = Exchange(line, session, request);
   if (!reply) {
-    return FailRead(session, reply.error());
+    return FailExchange(session, request, reply.error());
   }
   return ShowChange(line, session, reply.value());
 }
@@ -238,18 +252,13 @@
   if (!wanted) {
     return ExitCode::kUsage;
   }
-  const OperatorRequest request{http::Verb::get, "/v1/configuration", ""};
-  const Result<OperatorReply> reply = Exchange(line, session, request);
-  if (!reply) {
-    return FailRead(session, reply.error());
-  }
-  if (reply.value().status >= kFirstErrorStatus) {
-    return FailReply(session, reply.value());
+  const Fetched current =
+      Fetch(line, session, {http::Verb::get, "/v1/configuration", ""});
+  if (current.code != ExitCode::kOk) {
+    return current.code;
   }
-  const auto current =
-      nlohmann::json::parse(reply.value().body, nullptr, false);
   const nlohmann::json difference =
-      nlohmann::json::diff(StatedPart(current), StatedPart(*wanted));
+      nlohmann::json::diff(StatedPart(current.report), StatedPart(*wanted));
   if (difference.empty() && !line.json) {
     session.out << "no difference\n";
     return ExitCode::kOk;
@@ -265,6 +274,31 @@
   return Show(as_json, session, "/v1/configuration");
 }
 
+/// One row for each version; the whole versions are in the JSON.
+nlohmann::json HistoryRows(const nlohmann::json& versions) {
+  nlohmann::json rows = nlohmann::json::array();
+  for (const nlohmann::json& version : versions) {
+    nlohmann::json row = {{"version", version.value("version", 0)},
+                          {"change_id", version.value("change_id", "")}};
+    for (const char* list : {"classes", "models", "kinds", "workspaces"}) {
+      const auto items = version.find(list);
+      row[list] = items == version.end() ? 0 : items->size();
+    }
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+ExitCode History(const CommandLine& line, Session& session) {
+  const Fetched versions =
+      Fetch(line, session, {http::Verb::get, "/v1/configuration/history", ""});
+  if (versions.code == ExitCode::kOk) {
+    Print(line, session,
+          line.json ? versions.report : HistoryRows(versions.report));
+  }
+  return versions.code;
+}
+
 ExitCode Forecast(const CommandLine& line, Session& session) {
   OperatorRequest request{http::Verb::post, "/v1/forecast", ""};
   if (!line.what_if_file.empty()) {
@@ -277,20 +311,6 @@
   return ShowReport(line, session, request);
 }
 
-ExitCode Drain(const CommandLine& line, Session& session) {
-  const OperatorRequest request{http::Verb::post, "/v1/drain", ""};
-  const Result<OperatorReply> reply = Exchange(line, session, request);
-  if (!reply) {
-    return Fail(session, reply.error());
-  }
-  if (reply.value().status >= kFirstErrorStatus) {
-    return FailReply(session, reply.value());
-  }
-  const auto report = nlohmann::json::parse(reply.value().body, nullptr, false);
-  Print(line, session, report);
-  return ExitCode::kOk;
-}
-
 Result<std::vector<Event>> FetchTimeline(Session& session,
                                          const std::string& daemon) {
   const OperatorRequest request{http::Verb::get, "/v1/timeline", ""};
@@ -309,15 +329,6 @@
       nlohmann::json::parse(reply.value().body, nullptr, false));
 }
 
-void PrintTimeline(const CommandLine& line, Session& session,
-                   const std::vector<Event>& events) {
-  nlohmann::json list = nlohmann::json::array();
-  for (const Event& event : events) {
-    list.push_back(ToJson(event));
-  }
-  Print(line, session, list);
-}
-
 ExitCode WriteTrace(const CommandLine& line, Session& session,
                     const std::vector<Event>& events) {
   std::ofstream file(line.trace_file);
@@ -350,7 +361,7 @@
   }
   const std::vector<Event> events = MergeTimelines(std::move(timelines));
   if (line.trace_file.empty()) {
-    PrintTimeline(line, session, events);
+    Print(line, session, TimelineToJson(events));
     return code;
   }
   const ExitCode written = WriteTrace(line, session, events);
@@ -366,7 +377,7 @@
     case Command::kGet:
       return Get(line, session);
     case Command::kHistory:
-      return Show(line, session, "/v1/configuration/history");
+      return History(line, session);
     case Command::kDiff:
       return Diff(line, session);
     case Command::kStatus:
@@ -378,7 +389,7 @@
     case Command::kTimeline:
       return ShowTimeline(line, session);
     case Command::kDrain:
-      return Drain(line, session);
+      return ShowReport(line, session, {http::Verb::post, "/v1/drain", ""});
     case Command::kResolve:
       return Resolve(line, session, line.change_id);
   }
--- a/packages/gateway/src/gateway/operator_api.cc
+++ b/packages/gateway/src/gateway/operator_api.cc
@@ -218,6 +218,12 @@
   if (change_id.empty()) {
     change_id = ConfigurationStore::MakeChangeId(*version, this->random());
   }
+  // Such an id could not be resolved after a lost answer of the table.
+  if (!change_id.starts_with(std::to_string(*version) + "-")) {
+    co_return Refused(http::Status::bad_request, "invalid_change_id",
+                      "change_id must begin with the expected version and "
+                      "a hyphen");
+  }
   auto document = nlohmann::json::parse(request.body(), nullptr, false);
   if (document.is_discarded()) {
     co_return Refused(http::Status::bad_request, "invalid_json",
--- a/packages/gateway/src/gateway/timeline_json.cc
+++ b/packages/gateway/src/gateway/timeline_json.cc
@@ -38,6 +38,10 @@
   }
 }
 
+Error Malformed(const std::vector<Mistake>& mistakes) {
+  return {ErrorCode::kProtocol, "timeline.read", "", ToString(mistakes)};
+}
+
 }  // namespace
 
 std::string NameOf(EventId id) {
@@ -60,28 +64,23 @@
       {"fields", std::move(fields)}};
 }
 
-nlohmann::json TimelineToJson(std::string_view node,
-                              const std::vector<Event>& events) {
+nlohmann::json TimelineToJson(std::span<const Event> events) {
   nlohmann::json list = nlohmann::json::array();
   for (const Event& event : events) {
     list.push_back(ToJson(event));
   }
-  return {{"node", node}, {"events", std::move(list)}};
+  return list;
 }
 
 Result<std::vector<Event>> ReadTimeline(const nlohmann::json& document) {
-  const Error malformed{ErrorCode::kProtocol, "timeline.read", "", ""};
-  if (!document.is_object() || !document.contains("events") ||
-      !document["events"].is_array()) {
-    Error error = malformed;
-    error.detail = "expected an object with an array of events";
-    return error;
-  }
   std::vector<Mistake> mistakes;
+  if (!document.is_array()) {
+    mistakes.push_back({"", "an array of events"});
+    return Malformed(mistakes);
+  }
   std::vector<Event> events;
-  for (const nlohmann::json& item : document["events"]) {
-    JsonReader reader(item, "/events/" + std::to_string(events.size()),
-                      mistakes);
+  for (const nlohmann::json& item : document) {
+    JsonReader reader(item, "/" + std::to_string(events.size()), mistakes);
     Event event = ReadEvent(reader);
     if (item.is_object()) {
       ReadFields(item, event);
@@ -89,9 +88,7 @@
     events.push_back(std::move(event));
   }
   if (!mistakes.empty()) {
-    Error error = malformed;
-    error.detail = ToString(mistakes);
-    return error;
+    return Malformed(mistakes);
   }
   return events;
 }
--- a/packages/gateway/src/gateway/timeline_json.h
+++ b/packages/gateway/src/gateway/timeline_json.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <nlohmann/json.hpp>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -9,10 +10,9 @@
 
 namespace qp {
 
-/// Body of `GET /v1/timeline`: `{node, events: [{event, name, severity, node,
-/// time_ms, counter, fields}]}`, oldest first.
-nlohmann::json TimelineToJson(std::string_view node,
-                              const std::vector<Event>& events);
+/// Body of `GET /v1/timeline`: an array of `{event, name, severity, node,
+/// time_ms, counter, fields}`, oldest first.
+nlohmann::json TimelineToJson(std::span<const Event> events);
 
 /// Reads such a body; kProtocol if it has another form. Events with numbers
 /// that this version does not know are kept.
--- a/packages/gateway/tests/gateway/ctl/commands_test.cc
+++ b/packages/gateway/tests/gateway/ctl/commands_test.cc
@@ -1,5 +1,6 @@
 #include "gateway/ctl/commands.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <catch2/trompeloeil.hpp>
 #include <cstdio>
@@ -214,6 +215,41 @@
   CHECK(difference[0]["path"] == "/classes/0/name");
 }
 
+// Guards against rows that repeat whole configurations.
+TEST_CASE("history lists one row for each version", "[quetzalpostctl]") {
+  Fixture fixture;
+  const json versions = {{{"version", 1}, {"change_id", "0-a"}},
+                         {{"version", 2},
+                          {"change_id", "1-b"},
+                          {"classes", {{{"name", "questions"}}}}}};
+  REQUIRE_CALL(fixture.transport, Exchange("a", _))
+      .LR_RETURN(Answer(200, versions));
+  CHECK(fixture.Run({"history"}) == ExitCode::kOk);
+  const std::string text = fixture.out.str();
+  CHECK(std::count(text.begin(), text.end(), '\n') == 3);
+  CHECK(text.find("1-b") != std::string::npos);
+  CHECK(text.find("questions") == std::string::npos);
+}
+
+// Guards against a drain that is sent to a second daemon after its answer was
+// lost, or reported as not begun.
+TEST_CASE("drain names one daemon and reports a lost answer",
+          "[quetzalpostctl]") {
+  Fixture fixture;
+  const auto drain = std::vector<std::string>{"drain", "--daemon", "c"};
+  SECTION("answered") {
+    REQUIRE_CALL(fixture.transport, Exchange("c", _))
+        .WITH(_2.verb == Verb::post && _2.target == "/v1/drain")
+        .RETURN(Answer(202, json{{"status", "draining"}}));
+    CHECK(fixture.Run(drain) == ExitCode::kOk);
+  }
+  SECTION("lost") {
+    REQUIRE_CALL(fixture.transport, Exchange("c", _))
+        .RETURN(Failure(ErrorCode::kUnknownEffect));
+    CHECK(fixture.Run(drain) == ExitCode::kUnknown);
+  }
+}
+
 // Guards against a what-if that is answered for the targets in force.
 TEST_CASE("forecast sends the configuration asked about", "[quetzalpostctl]") {
   Fixture fixture;
@@ -236,11 +272,12 @@
   const qp::Event received{qp::EventId::kBudgetReceived, {1000, 2}, "a", {}};
   const qp::Event unknown{static_cast<qp::EventId>(9999), {999, 0}, "a", {}};
   REQUIRE_CALL(fixture.transport, Exchange("a", _))
-      .LR_RETURN(Answer(200, qp::TimelineToJson("a", {unknown, received})));
+      .LR_RETURN(
+          Answer(200, qp::TimelineToJson(std::vector{unknown, received})));
   SECTION("whole") {
     const TemporaryFile trace;
     REQUIRE_CALL(fixture.transport, Exchange("b", _))
-        .LR_RETURN(Answer(200, qp::TimelineToJson("z", {granted})));
+        .LR_RETURN(Answer(200, qp::TimelineToJson(std::vector{granted})));
     CHECK(fixture.Run({"timeline", "--trace", trace.path}) == ExitCode::kOk);
     const json document = trace.Read();
     std::vector<json> instants;
@@ -266,7 +303,7 @@
   }
   SECTION("one is malformed") {
     REQUIRE_CALL(fixture.transport, Exchange("b", _))
-        .RETURN(Answer(200, json{{"events", {{{"event", "x"}}}}}));
+        .RETURN(Answer(200, json::array({{{"event", "x"}}})));
     CHECK(fixture.Run({"timeline"}) == ExitCode::kUnreachable);
   }
 }
--- a/packages/gateway/tests/gateway/operator_api_test.cc
+++ b/packages/gateway/tests/gateway/operator_api_test.cc
@@ -117,8 +117,9 @@
 // Guards against a change that overwrites a version its author never saw.
 TEST_CASE("A change names the version that it is based on", "[operator_api]") {
   Fixture fixture;
-  const auto* query = GENERATE("", "?expected_version=", "?expected_version=x",
-                               "?expected_version=-1");
+  const auto* query = GENERATE(
+      "", "?expected_version=", "?expected_version=x", "?expected_version=-1",
+      "?expected_version=4&change_id=x", "?expected_version=4&change_id=5-00");
   const auto responder = fixture.Handle(
       qp::http::Verb::put, std::string("/v1/configuration") + query, "{}");
   CHECK(responder.status() == 400);
