Report the blackboard's state as gauges

Cause: /metrics showed requests only; alarms on readiness, members, backend servers and budget shares had nothing to read. Change: UpdateGauges sets them before each scrape and drops series of what is gone; the daemon calls it.

--- a/packages/daemon/src/daemon/daemon_operator_service.cc
+++ b/packages/daemon/src/daemon/daemon_operator_service.cc
@@ -8,6 +8,7 @@
 #include "daemon/cluster_handle.h"
 #include "daemon/report_json.h"
 #include "foundation/wait.h"
+#include "gateway/blackboard_gauges.h"
 #include "gateway/timeline_json.h"
 #include "platform/configuration_store.h"
 #include "platform/usage_store.h"
@@ -212,6 +213,7 @@
 void DaemonOperatorService::Drain() { this->parts.begin_drain(); }
 
 std::string DaemonOperatorService::MetricsText() {
+  UpdateGauges(this->parts.blackboard, this->parts.metrics);
   return this->parts.metrics.Text();
 }
 
--- a/packages/gateway/src/gateway/metrics.cc
+++ b/packages/gateway/src/gateway/metrics.cc
@@ -171,6 +171,12 @@
   SeriesOf(this->state->gauges, name, std::move(labels)) = value;
 }
 
+void Metrics::ReplaceGauge(std::string_view name,
+                           std::map<Labels, double> series) {
+  std::lock_guard lock(this->state->mutex);
+  this->state->gauges.insert_or_assign(std::string(name), std::move(series));
+}
+
 std::string Metrics::Text() const {
   std::lock_guard lock(this->state->mutex);
   std::ostringstream out;
--- a/packages/gateway/src/gateway/metrics.h
+++ b/packages/gateway/src/gateway/metrics.h
@@ -36,6 +36,8 @@
   void Increment(std::string_view name, Labels labels,
                  std::uint64_t amount = 1);
   void SetGauge(std::string_view name, Labels labels, double value);
+  /// Replaces all series of a gauge, so that none outlives what it describes.
+  void ReplaceGauge(std::string_view name, std::map<Labels, double> series);
 
   std::string Text() const;
 
