--- a/packages/policy/src/policy/admission.cc
+++ b/packages/policy/src/policy/admission.cc
@@ -21,14 +21,14 @@
 /// A small bucket loses rate to the spacing of random arrivals; two requests
 /// keep that loss below the 5% that a workspace may fall short.
 constexpr double kLeastBurstRequests = 2;
-/// Time constant of the count of refusals.
-constexpr Seconds kRefusalMemory{3.0};
+/// Time constant of the counts of admitted and refused requests.
+constexpr Seconds kDemandMemory{3.0};
 constexpr Seconds kLeastRetryAfter{0.5};
 constexpr Seconds kMostRetryAfter{30.0};
 /// A class with fewer refusals of late than this asks for no more.
 constexpr double kShortRefusals = 0.5;
 /// Credits are given out at most this often; the cost grows with workspaces.
-constexpr Seconds kRefillInterval{0.002};
+constexpr Seconds kRefillInterval{0.01};
 constexpr std::size_t kDimensions = 2;
 
 /// Requests and tokens, in that order.
@@ -46,10 +46,10 @@
 
   double At(TimePoint now) const {
     const Seconds age = now - this->counted_at;
-    return this->count * std::exp(-age / kRefusalMemory);
+    return this->count * std::exp(-age / kDemandMemory);
   }
-  void Add(TimePoint now) {
-    this->count = this->At(now) + 1;
+  void Add(TimePoint now, double amount) {
+    this->count = this->At(now) + amount;
     this->counted_at = now;
   }
 };
@@ -86,6 +86,8 @@
                      ? "service:" + request_class.service
                      : "model:" + request_class.model;
     this->rate = {share.requests_per_second, share.tokens_per_second};
+    this->target = {request_class.target.requests_per_second,
+                    request_class.target.tokens_per_second};
     this->limited = {request_class.target.requests_per_second > 0,
                      request_class.target.tokens_per_second > 0};
     for (std::size_t d = 0; d < kDimensions; ++d) {
@@ -145,6 +147,7 @@
       const double common = std::min(cost[d] - own, this->spare[d]);
       this->spare[d] -= common;
       workspace.level[d] -= cost[d] - common;
+      this->held[d] -= cost[d] - common;
     }
   }
 
@@ -155,13 +158,16 @@
       this->Return(1, tokens);
     } else {
       found->second.level[1] += tokens;
+      this->held[1] += tokens;
     }
   }
 
   /// Takes what other classes leave unused.
   void AddSurplus(const Amounts& surplus) {
     for (std::size_t d = 0; d < kDimensions; ++d) {
-      this->Distribute(d, surplus[d]);
+      if (surplus[d] > 0) {
+        this->Distribute(d, surplus[d]);
+      }
     }
   }
 
@@ -181,11 +187,7 @@
   /// Whether other workspaces hold enough for `cost`.
   bool OthersCover(const Amounts& cost) const {
     for (std::size_t d = 0; d < kDimensions; ++d) {
-      double total = this->spare[d];
-      for (const auto& [name, workspace] : this->workspaces) {
-        total += workspace.level[d];
-      }
-      if (this->limited[d] && total < cost[d]) {
+      if (this->limited[d] && this->spare[d] + this->held[d] < cost[d]) {
         return false;
       }
     }
@@ -209,8 +211,18 @@
 
   double RequestRate() const { return this->rate[0]; }
 
+  /// Size of `cost` in average requests of the class, by whichever limit it
+  /// uses most of.
+  double AverageRequests(const Amounts& cost) const {
+    const double unit = this->target[0] > 0 && this->target[1] > 0
+                            ? this->target[1] / this->target[0]
+                            : 0;
+    return unit > 0 ? std::max(cost[0], cost[1] / unit) : cost[0];
+  }
+
   std::string pool;
   DecayingCount refusals;
+  DecayingCount admissions;
   bool configured = false;
   double shortage_elsewhere = 0;  ///< Requests a second.
 
@@ -246,6 +258,7 @@
     const double lent =
         std::clamp(this->ClassCap(d) - this->debt[d], 0.0, wanted);
     newcomer.level[d] = lent;
+    this->held[d] += lent;
     this->debt[d] += lent;
   }
 
@@ -279,6 +292,7 @@
     amount -= repaid;
 
     std::vector<double*> open;
+    open.reserve(this->workspaces.size());
     for (auto& [name, workspace] : this->workspaces) {
       open.push_back(&workspace.level[d]);
     }
@@ -290,6 +304,7 @@
       const double part = amount / static_cast<double>(open.size() - i);
       const double taken = std::clamp(cap - *open[i], 0.0, part);
       *open[i] += taken;
+      this->held[d] += taken;
       amount -= taken;
     }
     const double room = std::max(this->ClassCap(d) - this->spare[d], 0.0);
@@ -298,9 +313,11 @@
     return amount - kept;
   }
 
+  Amounts target{};  ///< Of the class over all daemons.
   Amounts rate{};
   std::array<bool, kDimensions> limited{};
   Amounts spare{};
+  Amounts held{};  ///< Sum of the workspaces' levels.
   /// Amounts lent to newcomers; repaid before anything is distributed.
   Amounts debt{};
   bool started = false;
@@ -393,18 +410,19 @@
     return {RefusalReason::kDeadlineTooShort,
             this->state->Spread(kLeastRetryAfter, kLeastRetryAfter)};
   }
+  const Amounts cost{1, request.expected_tokens};
   if (!buckets.HasShare()) {
-    buckets.refusals.Add(now);
+    buckets.refusals.Add(now, buckets.AverageRequests(cost));
     return {RefusalReason::kClassOverTarget,
             this->state->Spread(kLeastRetryAfter, kLeastRetryAfter)};
   }
-  const Amounts cost{1, request.expected_tokens};
   auto& workspace = buckets.Enter(request.workspace, now);
   if (buckets.Covers(workspace, cost)) {
     buckets.Charge(workspace, cost);
+    buckets.admissions.Add(now, buckets.AverageRequests(cost));
     return {};
   }
-  buckets.refusals.Add(now);
+  buckets.refusals.Add(now, buckets.AverageRequests(cost));
   const auto reason = buckets.OthersCover(cost)
                           ? RefusalReason::kWorkspaceOverShare
                           : RefusalReason::kClassOverTarget;
@@ -435,11 +453,18 @@
   }
 }
 
+double Admission::Used(std::string_view class_name, TimePoint now) const {
+  const auto found = this->state->classes.find(class_name);
+  return found == this->state->classes.end()
+             ? 0
+             : found->second.admissions.At(now) / kDemandMemory.count();
+}
+
 double Admission::Shortage(std::string_view class_name, TimePoint now) const {
   const auto found = this->state->classes.find(class_name);
   return found == this->state->classes.end()
              ? 0
-             : found->second.refusals.At(now) / kRefusalMemory.count();
+             : found->second.refusals.At(now) / kDemandMemory.count();
 }
 
 }  // namespace qp::policy
