Show nested members of reports as columns

Cause: against three daemons, forecast printed costs as JSON objects with thirteen decimals. Change: objects inside a row become columns of their own, and tables show numbers with four significant digits; the JSON output is unchanged.

--- a/packages/gateway/src/gateway/ctl/report_text.cc
+++ b/packages/gateway/src/gateway/ctl/report_text.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <iomanip>
 #include <sstream>
 #include <string_view>
@@ -15,15 +16,52 @@
 constexpr std::array<std::string_view, 6> kLeadingColumns = {
     "time_ms", "node", "name", "class", "version", "op"};
 
+constexpr std::string_view kFieldsColumn = "fields";
+
+/// Numbers from here on are shown without a fraction.
+constexpr double kWholeFrom = 1000;
+constexpr int kSignificantDigits = 4;
+
 constexpr std::size_t kColumnGap = 2;  // characters
 
+/// Four significant digits, and all digits before the point; the whole number
+/// is in the JSON.
+std::string NumberText(double number) {
+  std::ostringstream text;
+  if (std::abs(number) >= kWholeFrom) {
+    text << std::fixed << std::setprecision(0) << number;
+  } else {
+    text << std::setprecision(kSignificantDigits) << number;
+  }
+  return text.str();
+}
+
 std::string CellText(const nlohmann::json& value) {
   if (value.is_null()) {
     return "-";
   }
+  if (value.is_number_float()) {
+    return NumberText(value.get<double>());
+  }
   return value.is_string() ? value.get<std::string>() : value.dump();
 }
 
+/// Members of objects inside a row get columns of their own, "outer.inner".
+/// The fields of an event differ from row to row and stay one cell.
+nlohmann::json Flattened(const nlohmann::json& row) {
+  nlohmann::json flat = nlohmann::json::object();
+  for (const auto& [name, value] : row.items()) {
+    if (!value.is_object() || name == kFieldsColumn) {
+      flat[name] = value;
+      continue;
+    }
+    for (const auto& [inner, cell] : value.items()) {
+      flat[name + "." + inner] = cell;
+    }
+  }
+  return flat;
+}
+
 bool IsTable(const nlohmann::json& value) {
   return value.is_array() && !value.empty() &&
          std::all_of(value.begin(), value.end(),
@@ -67,7 +105,11 @@
   }
 }
 
-void WriteTable(std::ostream& out, const nlohmann::json& items) {
+void WriteTable(std::ostream& out, const nlohmann::json& report) {
+  nlohmann::json items = nlohmann::json::array();
+  for (const nlohmann::json& row : report) {
+    items.push_back(Flattened(row));
+  }
   const std::vector<std::string> columns = ColumnsOf(items);
   if (columns.empty()) {
     return;
