--- a/tests/process/callers.py
+++ b/tests/process/callers.py
@@ -9,6 +9,8 @@
 DEADLINE_MS = 20000
 # Longer than the deadline: without an answer by then, the answer is lost.
 CALLER_BOUND_S = 30
+# A caller that is refused comes back this often, each time after Retry-After.
+MAX_TRIES = 10
 
 
 def outcome_of(status, headers):
@@ -48,6 +50,10 @@
             entry["status"] = response.status
             entry["retry_after"] = names.get("retry-after")
             read(response, names)
+        except ConnectionRefusedError as failure:
+            # Nothing was sent, so the request provably did not run.
+            entry["outcome"] = "unreached"
+            entry["failure"] = repr(failure)
         except (OSError, ValueError, http.client.HTTPException) as failure:
             entry["outcome"] = "broken"
             entry["failure"] = repr(failure)
@@ -101,6 +107,19 @@
         return self.send(entry, target, body, self.headers(request, key), read)
 
 
+def until_run(send, request):
+    """Sends a request again while it is refused as not run, after the time that
+    the refusal gives. Each try has an id of its own, so that the checker can
+    tell them apart; all stand in the log. Returns the entry of the last."""
+    for number in range(1, MAX_TRIES + 1):
+        entry = send(request if number == 1 else f"{request}~{number}")
+        if entry["outcome"] != "not_run" or not entry["retry_after"]:
+            break
+        time.sleep(float(entry["retry_after"]))
+    entry["tries"] = number
+    return entry
+
+
 def wait_until_serving(caller, deployment, bound_s):
     """Asks each daemon for one answer of each kind until it is given. A daemon
     that has just started refuses requests until it knows the backend servers
