Split the process tests by concern and make callers come back

Cause: at first admission refused all nine calls of the test of one key at three daemons, so that nothing ran and the test failed on its premise. Change: callers of that test come back after Retry-After until they have an answer, which must then be the same for all; the assertion on a repeat of a claimed key stands in a test of its own; a paused daemon is tested.

--- a/tests/process/router_test.py
+++ b/tests/process/router_test.py
@@ -16,11 +16,15 @@
 TOKENS = 20
 # Bound of the design for work given to a server that is leaving.
 LEAVING_BOUND_S = 3.0
+# Longer than the time after which the others count a daemon as gone.
+PAUSE_S = 4.0
 # A first budget generation is in use 10 s after it was written.
 SERVING_BOUND_S = 40
 
 
 class RouterTest(unittest.TestCase):
+    """Set-up and checks that the test cases share."""
+
     def setUp(self):
         self.group = ProcessGroup(os.path.abspath(BUILD_DIR))
         self.addCleanup(self.group.__exit__)
@@ -58,6 +62,9 @@
         for engine in self.deployment.engines:
             engine.switch(token_delay_ms=token_delay_ms)
 
+    def once_until_run(self, daemon, request, key):
+        return until_run(lambda name: self.once(daemon, name, key), request)
+
     def executions(self, key):
         records = [service.record() for service in self.deployment.services]
         return sum(item["key"] == key for record in records for item in record["executions"])
@@ -75,8 +82,6 @@
         )
         self.assertEqual([str(v) for v in checker.check(self.caller.log)], [])
 
-    # Engines.
-
     def ask_with_fault(self, fault, count=6):
         """Asks `count` questions and causes the fault after some tokens."""
         self.slow_down()
@@ -94,6 +99,11 @@
         run_all(jobs + [lambda: (started.wait(10), fault())])
         return entries
 
+
+class EngineFaultTest(RouterTest):
+    """Guards against answers that are lost, cut short or wrong when an engine
+    fails or leaves."""
+
     def test_a_silent_stage_loses_no_answer(self):
         engine = self.deployment.engines[2]
         self.assert_outcomes(self.ask_with_fault(lambda: engine.switch(silent=True)), "complete")
@@ -120,7 +130,10 @@
         self.assertEqual(len(engine.record()["executions"]), before)
         self.assert_no_violations()
 
-    # Platform.
+
+class PlatformFaultTest(RouterTest):
+    """Guards against a table outage that spreads to calls that need no table,
+    and against calls that run twice because the table's answer was lost."""
 
     def test_a_table_outage_spares_idempotent_calls(self):
         self.deployment.table.switch(down=True)
@@ -143,16 +156,22 @@
         self.assertLessEqual(self.executions("key-lost"), 1)
         self.assert_no_violations()
 
-    # Calls that may run only once.
+
+class OnceCallTest(RouterTest):
+    """Guards against calls that run twice or are misreported."""
 
     def test_a_key_used_at_all_daemons_at_once_runs_once(self):
+        entries = []
         jobs = [
-            lambda d=d, n=n: self.once(d, f"once-{d.name}-{n}", "key-race")
+            lambda d=d, n=n: entries.append(
+                self.once_until_run(d, f"once-{d.name}-{n}", "key-race")
+            )
             for d in self.daemons for n in range(3)
         ]
         run_all(jobs)
         self.assertEqual(self.executions("key-race"), 1)
-        self.assertIn("complete", [entry["outcome"] for entry in self.caller.log])
+        self.assert_outcomes(entries, "complete")
+        self.assertEqual({entry["answer"]["execution"] for entry in entries}, {1})
         self.assert_no_violations()
 
     def test_a_lost_answer_of_the_service_is_reported_as_unknown(self):
@@ -161,12 +180,30 @@
         entries = [self.once(self.daemons[0], "first", "key-unknown")]
         for service in self.deployment.services:
             service.switch(lose_answer=False)
-        entries += [self.once(d, f"again-{d.name}", "key-unknown") for d in self.daemons]
+        entries += [
+            self.once_until_run(d, f"again-{d.name}", "key-unknown") for d in self.daemons
+        ]
         self.assert_outcomes(entries, "unknown")
         self.assertEqual(self.executions("key-unknown"), 1)
         self.assert_no_violations()
 
-    # Daemons.
+
+class ClaimedKeyTest(RouterTest):
+    """Guards against a repeat of a call that may have run being told `not_run`.
+    The design page rules this out for a key that another daemon has claimed."""
+
+    def test_a_repeat_of_a_claimed_key_is_never_told_not_run(self):
+        for service in self.deployment.services:
+            service.switch(lose_answer=True)
+        entries = [self.once(self.daemons[0], "first", "key-claimed")]
+        entries += [self.once(d, f"again-{d.name}", "key-claimed") for d in self.daemons]
+        self.assert_outcomes(entries, "unknown")
+        self.assertEqual(self.executions("key-claimed"), 1)
+
+
+class DaemonFaultTest(RouterTest):
+    """Guards against daemons that misreport requests when they stop, fail or
+    are paused, and against configuration changes that overwrite each other."""
 
     def test_a_planned_stop_interrupts_no_request(self):
         daemon = self.daemons[0]
@@ -187,6 +224,26 @@
         self.assert_outcomes([self.ask(self.daemons[1], "after")], "complete")
         self.assert_no_violations()
 
+    def test_a_paused_daemon_sends_no_call_that_another_has_taken_over(self):
+        for service in self.deployment.services:
+            service.switch(delay_ms=200)
+        paused = self.daemons[0]
+        keys = [f"key-pause-{n}" for n in range(4)]
+        jobs = [lambda k=k: self.once(paused, f"paused-{k}", k) for k in keys]
+
+        def pause():
+            time.sleep(0.05)
+            paused.process.signal(signal.SIGSTOP)
+            time.sleep(PAUSE_S)
+            for key in keys:
+                self.once(self.daemons[1], f"other-{key}", key)
+            paused.process.signal(signal.SIGCONT)
+
+        run_all(jobs + [pause])
+        for key in keys:
+            self.assertLessEqual(self.executions(key), 1)
+        self.assert_no_violations()
+
     def test_one_of_two_conflicting_changes_wins(self):
         version, document = self.deployment.configuration_in_force(self.daemons[0])
         answers = []
@@ -203,9 +260,8 @@
 
         run_all([lambda: change(self.daemons[0], 21), lambda: change(self.daemons[1], 22)])
         self.assertEqual(sorted(status for status, _ in answers), [200, 409], answers)
-        for daemon in self.daemons:
-            now, _ = self.deployment.configuration_in_force(daemon)
-            self.assertEqual(now, version + 1)
+        shown = {d.name: self.deployment.configuration_in_force(d)[0] for d in self.daemons}
+        self.assertEqual(shown, {d.name: version + 1 for d in self.daemons}, answers)
 
 
 if __name__ == "__main__":
