--- a/packages/platform/tests/platform/grouped_table_test.cc
+++ b/packages/platform/tests/platform/grouped_table_test.cc
@@ -115,6 +115,7 @@
 
 std::vector<Arrival> MakeArrivals(const std::vector<std::uint16_t>& numbers) {
   std::vector<Arrival> arrivals;
+  arrivals.reserve(numbers.size());
   for (const auto number : numbers) {
     arrivals.push_back({number % 50U, 1U + number / 50U % 9U,
                         number % 7 == 0 ? number % 6 : 0});
