--- a/cmake/QpPackage.cmake
+++ b/cmake/QpPackage.cmake
@@ -1,6 +1,9 @@
 # Options that every target of the workspace is built with.
 add_library(qp_options INTERFACE)
-target_compile_options(qp_options INTERFACE -Wall -Wextra -Werror -Wno-psabi)
+# GCC 12 inlines the operator new of Asio's coroutine frames but not their
+# operator delete, and then reports the pair as mismatched.
+target_compile_options(qp_options INTERFACE -Wall -Wextra -Werror -Wno-psabi
+  $<$<CXX_COMPILER_ID:GNU>:-Wno-mismatched-new-delete>)
 target_compile_definitions(qp_options INTERFACE BOOST_ASIO_NO_DEPRECATED CATCH_CONFIG_FAST_COMPILE)
 target_link_libraries(qp_options INTERFACE Threads::Threads nlohmann_json::nlohmann_json)
 
@@ -25,6 +28,7 @@
   if(tests)
     add_executable(qp_${name}_tests ${tests} ${CMAKE_SOURCE_DIR}/packages/testing/src/testing/catch_main.cc)
     target_include_directories(qp_${name}_tests PRIVATE ${CMAKE_SOURCE_DIR}/packages/testing/src ${root}/tests)
+    target_compile_definitions(qp_${name}_tests PRIVATE QP_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
     target_link_libraries(qp_${name}_tests PRIVATE qp_${name} qp_options rapidcheck caf_core)
     add_test(NAME ${name} COMMAND qp_${name}_tests)
     # RapidCheck draws from this fixed seed, so that a run can be repeated.
