--- a/packages/calls/src/calls/once_plain_service.cc
+++ b/packages/calls/src/calls/once_plain_service.cc
@@ -5,10 +5,6 @@
 
 #include "calls/retry_after.h"
 
-// GCC bug 109224: false warning where a coroutine's frame operators of Asio
-// are inlined.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
-
 namespace qp {
 
 namespace {
