--- a/packages/calls/src/calls/pipeline_call.h
+++ b/packages/calls/src/calls/pipeline_call.h
@@ -44,6 +44,11 @@
   static constexpr Duration kTransferBound = std::chrono::milliseconds(250);
   /// Characters of the prompt that identify its prefix for the router.
   static constexpr std::size_t kPrefixLength = 256;
+  /// Rough size of a token, for predictions before the engine has counted.
+  static constexpr double kCharactersPerToken = 4;
+  /// A caller that takes longer than this for a token holds up the stream, so
+  /// that the time to the next token says nothing of the engines.
+  static constexpr Duration kSlowWrite = std::chrono::milliseconds(1);
 
   PipelineCall(const Context& context, ChatRequest request, TokenSink& sink);
 
@@ -74,6 +79,8 @@
   CallResult GiveUp();
   CallResult EndForCaller();
   void RecordDrop(RecordVerdict verdict);
+  void ObserveToken(TimePoint arrived_at);
+  void ReportObservations();
   void CloseStream();
 
   Context context;
@@ -88,6 +95,9 @@
   Error failure;
   std::size_t tokens_at_start = 0;  ///< Of the current attempt.
   bool may_have_run = false;
+  std::optional<TimePoint> last_token_at;  ///< Of the current attempt.
+  Duration observed_time{};                ///< Sum over `observed_intervals`.
+  std::uint32_t observed_intervals = 0;
 };
 
 }  // namespace qp
--- a/packages/daemon/src/daemon/daemon.cc
+++ b/packages/daemon/src/daemon/daemon.cc
@@ -189,11 +189,10 @@
       caller_api({this->blackboard, this->chat, this->plain, this->metrics,
                   this->timeline, time},
                  this->random()),
-      operator_service(
-          {time, this->blackboard, this->store, this->usage, this->cluster,
-           this->timeline, this->metrics, this->settings.node,
-           [this] { this->Spawn(this->RunDrain()); }},
-          this->random()),
+      operator_service({time, this->blackboard, this->store, this->usage,
+                        this->cluster, this->timeline, this->metrics,
+                        this->settings.node,
+                        [this] { this->Spawn(this->RunDrain()); }}),
       operator_api(this->operator_service, this->settings.operator_token_sha256,
                    this->timeline, this->random()),
       caller_server(context, time, http::ServerLimits{}, this->caller_api),
@@ -242,6 +241,7 @@
   const TimePoint now = this->clock.Now();
   for (const RequestClass& item : configuration.classes) {
     ClassDemand demand;
+    demand.used_per_second = this->admission.Used(item.name, now);
     demand.shortage_per_second = this->admission.Shortage(item.name, now);
     this->cluster.Post([name = item.name, demand, now](ClusterNode& node) {
       node.ReportDemand(name, demand, now);
