--- a/packages/cluster/src/cluster/budget_exchange.h
+++ b/packages/cluster/src/cluster/budget_exchange.h
@@ -25,7 +25,7 @@
 /// shortage, and turns shares into rates.
 class BudgetExchange {
  public:
-  static constexpr Duration kRoundInterval = std::chrono::milliseconds(500);
+  static constexpr Duration kRoundInterval = std::chrono::milliseconds(200);
   /// Reports of demand and shortage are used for this time.
   static constexpr Duration kDemandAge = std::chrono::seconds(3);
   /// Own shortages and those of other members in a digest.
@@ -48,7 +48,14 @@
   void SettleRates(std::uint64_t version);
 
   /// Whether a version before the current one may still be in use.
-  bool HasUnsettledRates() const { return this->versions.size() > 1; }
+  bool HasUnsettledRates() const {
+    return !this->versions.empty() &&
+           (!this->settled_once || this->versions.size() > 1);
+  }
+
+  /// Whether no version has settled here yet. The rates before are not known
+  /// then, so no share is used.
+  bool IsFirstConfiguration() const { return !this->settled_once; }
 
   void ReportDemand(std::string_view class_name, const ClassDemand& demand,
                     TimePoint now);
@@ -107,9 +114,11 @@
   policy::BudgetLedger book;
   /// Versions that may be in use, ascending; the last one applies here.
   std::vector<std::shared_ptr<const Configuration>> versions;
+  bool settled_once = false;
   std::map<std::string, ReportedDemand, std::less<>> demands;
   std::map<ShortageKey, Shortage> shortages;
   std::optional<TimePoint> next_round;
+  std::optional<TimePoint> next_repeat;
 };
 
 }  // namespace qp
--- a/packages/cluster/src/cluster/cluster_node.cc
+++ b/packages/cluster/src/cluster/cluster_node.cc
@@ -4,6 +4,7 @@
 #include <functional>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <unordered_map>
 #include <utility>
 
 #include "cluster/budget_exchange.h"
@@ -171,7 +172,7 @@
     this->configuration =
         std::make_shared<const Configuration>(std::move(next));
     this->exchange.SetConfiguration(this->configuration);
-    this->rate_agreement = {};
+    this->RestartRateAgreement();
     this->gossip.RequestRound();
     this->events.Record(
         EventId::kConfigurationReceived,
@@ -188,6 +189,7 @@
     }
     this->exchange.ledger().Adopt(std::move(generation), now);
     this->generation_agreement = {};
+    this->RestartRateAgreement();
     this->gossip.RequestRound();
     this->events.Record(EventId::kBudgetGeneration,
                         {{"generation", std::to_string(number)}});
@@ -235,51 +237,82 @@
     return gone && now >= silent_since + kSilentBeforeRemoval;
   }
 
-  /// Counts the members of `base` that take part and those of them for which
-  /// `knows` holds.
-  bool UpdateAgreement(VersionAgreement& agreement,
-                       const std::vector<BudgetMember>& base, TimePoint now,
-                       const std::function<bool(const MemberRecord&)>& knows) {
+  /// How many of the members that take part know a version.
+  struct Knowledge {
     std::size_t members = 0;
     std::size_t knowing = 0;
+  };
+
+  Knowledge Count(const std::vector<BudgetMember>& base, TimePoint now,
+                  const std::function<bool(const MemberRecord&)>& knows) const {
+    Knowledge count;
     for (const BudgetMember& member : base) {
       const MemberRecord* record = this->membership.FindByName(member.node);
       if (record != nullptr && record->left) {
         continue;
       }
-      ++members;
+      ++count.members;
       const bool self = member.node == this->identity.node;
       const bool informed =
           record != nullptr &&
           record->identity.incarnation >= member.incarnation && knows(*record);
       if (self || informed || this->IsRemoved(member, record, now)) {
-        ++knowing;
+        ++count.knowing;
       }
     }
-    return agreement.Update(members, knowing, now);
+    return count;
+  }
+
+  void RestartRateAgreement() {
+    this->rate_agreement = {};
+    this->active_rate_agreement = {};
   }
 
   void UpdateAgreements(TimePoint now) {
-    policy::BudgetLedger& ledger = this->exchange.ledger();
-    if (ledger.IsWaiting()) {
-      const std::uint64_t number = ledger.KnownGeneration();
-      const bool stopped = this->UpdateAgreement(
-          this->generation_agreement, ledger.Known().previous_members, now,
-          [number](const MemberRecord& record) {
-            return record.generation >= number;
-          });
-      ledger.Activate(stopped, now);
+    if (this->exchange.ledger().IsWaiting()) {
+      this->UpdateGeneration(now);
     }
     if (this->exchange.HasUnsettledRates()) {
-      const std::uint64_t version = this->configurations.version();
-      const bool settled = this->UpdateAgreement(
-          this->rate_agreement, this->Base(), now,
-          [version](const MemberRecord& record) {
-            return record.configuration_version >= version;
-          });
-      if (settled) {
-        this->exchange.SettleRates(version);
-      }
+      this->UpdateRates(now);
+    }
+  }
+
+  void UpdateGeneration(TimePoint now) {
+    policy::BudgetLedger& ledger = this->exchange.ledger();
+    const std::uint64_t number = ledger.KnownGeneration();
+    const Knowledge count = this->Count(ledger.Known().previous_members, now,
+                                        [number](const MemberRecord& record) {
+                                          return record.generation >= number;
+                                        });
+    const bool stopped =
+        this->generation_agreement.Update(count.members, count.knowing, now);
+    if (ledger.Activate(stopped, now)) {
+      this->RestartRateAgreement();
+    }
+  }
+
+  void UpdateRates(TimePoint now) {
+    const policy::BudgetLedger& ledger = this->exchange.ledger();
+    const std::uint64_t version = this->configurations.version();
+    const auto knows = [version](const MemberRecord& record) {
+      return record.configuration_version >= version;
+    };
+    // While a generation waits, a daemon that has not learned of it is
+    // confirmed by a majority of the one before.
+    const Knowledge known = this->Count(this->Base(), now, knows);
+    const Knowledge active = this->Count(ledger.Active().members, now, knows);
+    const bool known_settled =
+        this->rate_agreement.Update(known.members, known.knowing, now);
+    const bool active_settled =
+        this->active_rate_agreement.Update(active.members, active.knowing, now);
+    // The daemons of the first generation start together and hold no shares
+    // from before.
+    const bool starting = this->exchange.IsFirstConfiguration() &&
+                          ledger.ActiveGeneration() <= 1 &&
+                          known.knowing == known.members &&
+                          active.knowing == active.members;
+    if (starting || (known_settled && active_settled)) {
+      this->exchange.SettleRates(version);
     }
   }
 
@@ -328,7 +361,10 @@
   }
 
   void UpdateConfirmation(TimePoint now) {
-    this->Confirm(this->ConfirmedByMembers(now));
+    if (now >= this->next_confirmation) {
+      this->next_confirmation = now + Gossip::kRoundInterval;
+      this->Confirm(this->ConfirmedByMembers(now));
+    }
     const bool confirmed = this->IsConfirmed(now);
     if (confirmed == this->was_confirmed) {
       return;
@@ -360,6 +396,31 @@
     return members;
   }
 
+  // Duties.
+
+  /// Whether this daemon observes the backend server. Kept until the members
+  /// change, since callers ask for every backend server each second.
+  bool HasDuty(NameHash backend) {
+    if (this->duties_of != this->membership.composition()) {
+      this->duties_of = this->membership.composition();
+      this->duties.clear();
+      this->present = {HashName(this->identity.node)};
+      for (const auto& [node, record] : this->membership.records()) {
+        if (IsPresent(record.state)) {
+          this->present.push_back(node);
+        }
+      }
+    }
+    const auto [at, added] = this->duties.try_emplace(backend, false);
+    if (added) {
+      const auto observers =
+          ChooseByRendezvous(backend, this->present, kObservers);
+      at->second = std::find(observers.begin(), observers.end(),
+                             this->present.front()) != observers.end();
+    }
+    return at->second;
+  }
+
   NodeIdentity identity;
   PeerLink& link;
   Timeline* timeline;
@@ -372,13 +433,18 @@
   Gossip gossip;
   BudgetExchange exchange;
   VersionAgreement generation_agreement;
-  VersionAgreement rate_agreement;
+  VersionAgreement rate_agreement;         ///< Of the known generation.
+  VersionAgreement active_rate_agreement;  ///< Of the active generation.
   std::shared_ptr<const Configuration> configuration;
   std::vector<Contact> contacts;
   std::optional<TimePoint> started_at;
   std::optional<TimePoint> confirmed_at;
   std::optional<TimePoint> leaving_at;
+  TimePoint next_confirmation{};
   bool was_confirmed = false;
+  std::uint64_t duties_of = 0;  ///< Composition of the members.
+  std::vector<NameHash> present;
+  std::unordered_map<NameHash, bool> duties;
 };
 
 ClusterNode::ClusterNode(NodeIdentity identity, std::vector<std::string> seeds,
@@ -492,7 +558,8 @@
           : std::chrono::duration_cast<std::chrono::milliseconds>(
                 now.time_since_epoch())
                 .count();
-  this->state->observations.Publish(std::move(observation), SecondsOf(millis));
+  this->state->observations.Publish(std::move(observation), SecondsOf(millis),
+                                    this->state->gossip.ObservationInterval());
 }
 
 std::vector<Observation> ClusterNode::Observations(TimePoint) const {
@@ -500,17 +567,7 @@
 }
 
 bool ClusterNode::ShouldObserve(std::string_view backend) const {
-  const State& node = *this->state;
-  const NameHash self = HashName(node.identity.node);
-  std::vector<NameHash> nodes = {self};
-  for (const auto& [hash, record] : node.membership.records()) {
-    if (IsPresent(record.state)) {
-      nodes.push_back(hash);
-    }
-  }
-  const auto observers =
-      ChooseByRendezvous(HashName(backend), nodes, kObservers);
-  return std::find(observers.begin(), observers.end(), self) != observers.end();
+  return this->state->HasDuty(HashName(backend));
 }
 
 void ClusterNode::SetBudgetGeneration(BudgetGeneration generation,
