Acknowledge a configuration only once it is in force

A node acknowledged when it stored a version; the blackboard got it up to 100 ms later. Change: the cluster node publishes an applied configuration before it acknowledges or announces it; the polling loop is gone.

--- a/packages/blackboard/src/blackboard/views.h
+++ b/packages/blackboard/src/blackboard/views.h
@@ -11,11 +11,9 @@
 
 namespace qp {
 
-/// The configuration in force here, and how well it is confirmed.
+/// The configuration in force here; empty until one is known.
 struct ConfigurationView {
   std::optional<Configuration> configuration;
-  /// Last time the table or a majority of members confirmed it.
-  TimePoint confirmed_at{};
 };
 
 enum class MemberState { kAlive, kSuspect, kLeaving, kGone };
--- a/packages/cluster/src/cluster/cluster_node.cc
+++ b/packages/cluster/src/cluster/cluster_node.cc
@@ -172,6 +172,9 @@
     this->configuration =
         std::make_shared<const Configuration>(std::move(next));
     this->exchange.SetConfiguration(this->configuration);
+    if (this->listener) {
+      this->listener(this->configuration);
+    }
     this->RestartRateAgreement();
     this->gossip.RequestRound();
     this->events.Record(
@@ -436,6 +439,7 @@
   VersionAgreement rate_agreement;         ///< Of the known generation.
   VersionAgreement active_rate_agreement;  ///< Of the active generation.
   std::shared_ptr<const Configuration> configuration;
+  ConfigurationListener listener;
   std::vector<Contact> contacts;
   std::optional<TimePoint> started_at;
   std::optional<TimePoint> confirmed_at;
@@ -512,6 +516,13 @@
   return true;
 }
 
+void ClusterNode::SetConfigurationListener(ConfigurationListener listener) {
+  this->state->listener = std::move(listener);
+  if (this->state->listener && this->state->configuration) {
+    this->state->listener(this->state->configuration);
+  }
+}
+
 std::shared_ptr<const Configuration> ClusterNode::CurrentConfiguration() const {
   return this->state->configuration;
 }
--- a/packages/cluster/src/cluster/cluster_node.h
+++ b/packages/cluster/src/cluster/cluster_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <span>
@@ -61,6 +62,12 @@
   /// version is higher than the current one. True if it was applied.
   bool OfferConfiguration(Configuration configuration, TimePoint now);
 
+  /// Called with each configuration that is applied, before it is announced
+  /// or acknowledged to anyone; at once if there is one already.
+  using ConfigurationListener =
+      std::function<void(const std::shared_ptr<const Configuration>&)>;
+  void SetConfigurationListener(ConfigurationListener listener);
+
   /// Null if none is known yet. Replaced, never modified.
   std::shared_ptr<const Configuration> CurrentConfiguration() const;
 
--- a/packages/daemon/src/daemon/configuration_controller.cc
+++ b/packages/daemon/src/daemon/configuration_controller.cc
@@ -26,8 +26,9 @@
       table(service),
       cluster(handle),
       events(sink),
-      lifetime(life),
-      writer(blackboard.configuration.Claim()) {}
+      lifetime(life) {
+  this->PublishApplied(blackboard);
+}
 
 Task<void> ConfigurationController::Poll() {
   while (!this->lifetime.ended) {
@@ -108,26 +109,20 @@
                                               Single(std::move(write)));
 }
 
-Task<void> ConfigurationController::Publish() {
-  while (!this->lifetime.ended) {
-    struct InForce {
-      std::shared_ptr<const Configuration> configuration;
-      TimePoint confirmed_at{};
-    };
-    const auto in_force =
-        co_await this->cluster.Ask([](ClusterNode& node) -> InForce {
-          return {node.CurrentConfiguration(),
-                  node.ConfirmedAt().value_or(TimePoint{})};
-        });
-    if (in_force.configuration &&
-        in_force.configuration->version > this->published_version) {
-      this->published_version = in_force.configuration->version;
-      this->events.Record(EventId::kConfigurationInForce,
-                          {{"version", std::to_string(published_version)}});
-      this->writer->Publish({*in_force.configuration, in_force.confirmed_at});
-    }
-    co_await SleepFor(this->clock, kPublishInterval);
-  }
+void ConfigurationController::PublishApplied(Blackboard& blackboard) {
+  // A member that acknowledged a version must already serve by it, so the
+  // cluster node publishes it on its own thread before it answers. The writer
+  // is shared, since the node may outlive this controller.
+  std::shared_ptr<Writer<ConfigurationView>> writer(
+      blackboard.configuration.Claim());
+  auto publish = [writer, &sink = this->events](
+                     const std::shared_ptr<const Configuration>& applied) {
+    writer->Publish({*applied});
+    sink.Record(EventId::kConfigurationInForce,
+                {{"version", std::to_string(applied->version)}});
+  };
+  this->cluster.Post(
+      [publish](ClusterNode& node) { node.SetConfigurationListener(publish); });
 }
 
 }  // namespace qp
--- a/packages/daemon/src/daemon/configuration_controller.h
+++ b/packages/daemon/src/daemon/configuration_controller.h
@@ -20,7 +20,6 @@
 class ConfigurationController {
  public:
   static constexpr Duration kPollInterval = std::chrono::seconds(1);
-  static constexpr Duration kPublishInterval = std::chrono::milliseconds(100);
 
   ConfigurationController(Clock& clock, Blackboard& blackboard,
                           ConfigurationStore& store, Table& table,
@@ -30,22 +29,19 @@
   /// Polls the table until the lifetime ends.
   Task<void> Poll();
 
-  /// Publishes what the cluster node has in force, until the lifetime ends.
-  Task<void> Publish();
-
  private:
   Task<bool> ReadConfiguration();
   Task<bool> ReadGeneration();
   Task<void> WriteProposedGeneration();
 
+  void PublishApplied(Blackboard& blackboard);
+
   Clock& clock;
   ConfigurationStore& store;
   Table& table;
   ClusterHandle& cluster;
   EventSink& events;
   const Lifetime& lifetime;
-  std::unique_ptr<Writer<ConfigurationView>> writer;
-  std::uint64_t published_version = 0;
 };
 
 }  // namespace qp
--- a/packages/daemon/src/daemon/daemon.cc
+++ b/packages/daemon/src/daemon/daemon.cc
@@ -213,7 +213,6 @@
 
 void Daemon::State::StartControllers() {
   this->Spawn(this->configuration_controller.Poll());
-  this->Spawn(this->configuration_controller.Publish());
   this->Spawn(this->readiness_controller.Run());
   this->Spawn(this->backend_controller.PollList());
   this->Spawn(this->backend_controller.Observe());
