Test that a table outage alone stops no daemon of a large cluster

Cause: the age of relayed news grows with the size of the overlay. Change: 64 daemons without the table for 22 s stay confirmed.

--- a/packages/cluster/tests/cluster/cluster_node_test.cc
+++ b/packages/cluster/tests/cluster/cluster_node_test.cc
@@ -187,6 +187,28 @@
   CHECK(cluster.UsableSum() <= 1000 * (1 + 1e-9));
 }
 
+// Guards against news of members that is too old, beyond a full mesh, to
+// confirm daemons while the table is out.
+TEST_CASE("a table outage alone stops no daemon of a large cluster",
+          "[cluster][node]") {
+  const std::size_t count = 64;
+  ClusterHarness cluster(count, 10, 11);
+  cluster.table().configuration = MakeConfiguration(1);
+  cluster.StartAll();
+  cluster.Run(30s);
+  for (auto& daemon : cluster.daemons()) {
+    daemon.table_reachable = false;
+  }
+  cluster.Run(12s);
+  std::size_t unconfirmed = 0;
+  cluster.Run(10s, [&] {
+    for (std::size_t index = 0; index < count; ++index) {
+      unconfirmed += cluster.node(index).IsConfirmed(cluster.now()) ? 0 : 1;
+    }
+  });
+  CHECK(unconfirmed == 0);
+}
+
 // Guards against a crash or a reaction on damaged or foreign input.
 TEST_CASE("malformed and unknown messages are counted and dropped",
           "[cluster][node]") {
