Test that calls with a key take fresh connections

Cause: no test showed the rule; with it gone, a lost write to a kept connection would be reported as an unknown effect. Change: a test with a server that takes no new connections.

--- a/packages/gateway/tests/gateway/http_service_client_test.cc
+++ b/packages/gateway/tests/gateway/http_service_client_test.cc
@@ -64,3 +64,24 @@
     CHECK(reply.error().peer == fixture.server.address);
   }
 }
+
+// Guards against a call that must run at most once on a kept connection, where
+// a lost write can't be told from a lost answer.
+TEST_CASE("A call with a key never uses a kept connection",
+          "[http_service_client]") {
+  Fixture fixture;
+  fixture.server.Answer("/price", Status::ok, "{}");
+  fixture.server.Answer("/hold", Status::ok, "{}");
+  const qp::ServiceCall look_up{"price", "r", "", "{}"};
+  REQUIRE(fixture.Call(fixture.server.address, look_up).has_value());
+  fixture.server.Stop();
+  SECTION("with a key: nothing is sent") {
+    const auto reply = fixture.Call(fixture.server.address, kHold);
+    REQUIRE(reply.has_error());
+    CHECK(reply.error().code == ErrorCode::kUnavailable);
+    CHECK(fixture.server.requests.size() == 1);
+  }
+  SECTION("without a key: the kept connection serves") {
+    CHECK(fixture.Call(fixture.server.address, look_up).has_value());
+  }
+}
--- a/packages/gateway/tests/gateway/loopback_server.h
+++ b/packages/gateway/tests/gateway/loopback_server.h
@@ -23,10 +23,13 @@
   }
 
   ~LoopbackServer() override {
-    this->server.Stop();
+    this->Stop();
     this->runtime.Settle();
   }
 
+  /// Refuses new connections; open ones serve one more request.
+  void Stop() { this->server.Stop(); }
+
   /// Answers `path` with one document; chunked and without its end if `cut`.
   void Answer(const std::string& path, http::Status status, std::string body,
               bool cut = false) {
