--- a/packages/calls/src/calls/pipeline_call.cc
+++ b/packages/calls/src/calls/pipeline_call.cc
@@ -25,6 +25,20 @@
   return {stage.engine, stage.address, stage.first_layer, stage.last_layer};
 }
 
+/// Shortest time between tokens that a class of the model asks for; 0 if none.
+Duration TightestTarget(const Configuration& configuration,
+                        std::string_view model) {
+  Duration tightest{0};
+  for (const auto& item : configuration.classes) {
+    const Duration target = item.target.between_tokens;
+    if (item.model == model && target > Duration(0) &&
+        (tightest == Duration(0) || target < tightest)) {
+      tightest = target;
+    }
+  }
+  return tightest;
+}
+
 const policy::ChainStage* FindEngine(const policy::Chain& chain,
                                      std::string_view engine) {
   for (const auto& stage : chain.stages) {
@@ -124,6 +138,7 @@
     this->context.router.OnStarted(this->chain, this->context.clock.Now());
     const AttemptEnd end = co_await this->RunAttempt();
     this->context.router.OnFinished(this->chain, this->context.clock.Now());
+    this->ReportObservations();
     if (end == AttemptEnd::kComplete) {
       co_return CallResult{Outcome::kComplete, std::nullopt, std::nullopt};
     }
@@ -213,7 +228,12 @@
     this->RecordDrop(verdict);
     co_return AttemptEnd::kComplete;
   }
+  const auto arrived_at = this->context.clock.Now();
+  this->ObserveToken(arrived_at);
   auto written = co_await this->sink.Write(record.token);
+  if (this->context.clock.Now() - arrived_at > kSlowWrite) {
+    this->last_token_at.reset();
+  }
   co_return written.has_error() ? AttemptEnd::kCallerGone
                                 : AttemptEnd::kComplete;
 }
@@ -295,6 +315,10 @@
       prompt.empty() ? 0 : Hash64(prompt.substr(0, kPrefixLength));
   query.expected_tokens = static_cast<double>(left);
   query.excluded = this->excluded;
+  query.prompt_tokens =
+      static_cast<double>(prompt.size()) / kCharactersPerToken;
+  query.kinds = configuration.kinds;
+  query.between_tokens = TightestTarget(configuration, this->model.name);
   auto chosen = this->context.router.Choose(backends->value, query,
                                             this->context.clock.Now());
   if (chosen && chosen->stages.empty()) {
@@ -383,6 +407,24 @@
        {"reason", std::string(ToString(verdict))}});
 }
 
+void PipelineCall::ObserveToken(TimePoint arrived_at) {
+  if (this->last_token_at) {
+    this->observed_time += arrived_at - *this->last_token_at;
+    ++this->observed_intervals;
+  }
+  this->last_token_at = arrived_at;
+}
+
+void PipelineCall::ReportObservations() {
+  if (this->observed_intervals > 0) {
+    this->context.router.OnObserved(
+        this->chain, this->observed_time / this->observed_intervals);
+  }
+  this->last_token_at.reset();
+  this->observed_time = Duration(0);
+  this->observed_intervals = 0;
+}
+
 void PipelineCall::CloseStream() {
   if (this->stream) {
     this->stream->Cancel();
