Tell a refused repeat of a key what became of the key

Cause: claimed_key_test failed intermittently: after 'unknown' for a key, a daemon without a share answered its repeat not_run (class_over_target), since admission comes before the claim. The caller would take the call as not run. Ruled out: the budget exchange alone (it made refusals rarer, not right). Change: a refusal of a call that may not be repeated reads the claim first.

--- a/packages/calls/src/calls/claim_protocol.cc
+++ b/packages/calls/src/calls/claim_protocol.cc
@@ -171,6 +171,27 @@
   attempt.ended.NotifyAll();
 }
 
+Task<std::optional<ClaimDecision>> ClaimProtocol::Inspect(std::string key,
+                                                          std::string digest) {
+  const auto read = co_await this->table.Read(std::move(key));
+  if (read.has_error() || !read.value()) {
+    co_return std::nullopt;
+  }
+  const auto found = ParseClaimItem(read.value()->value);
+  if (found && found->state == ClaimItemState::kReleased) {
+    co_return std::nullopt;
+  }
+  ClaimDecision decision;
+  decision.verdict = ClaimVerdict::kInProgress;
+  if (found && found->digest != digest) {
+    decision.verdict = ClaimVerdict::kOtherBody;
+  } else if (found && found->state == ClaimItemState::kDone) {
+    decision.verdict = ClaimVerdict::kAnswered;
+    decision.answer = found->answer;
+  }
+  co_return decision;
+}
+
 bool ClaimProtocol::Release(const std::shared_ptr<Claim>& claim,
                             const asio::any_io_executor& executor) {
   if (!claim->TryAbandon()) {
--- a/packages/calls/src/calls/claim_protocol.h
+++ b/packages/calls/src/calls/claim_protocol.h
@@ -55,6 +55,12 @@
   Task<ClaimDecision> Acquire(std::string key, std::string digest,
                               TimePoint deadline);
 
+  /// What an earlier request made of `key`, without claiming it: kAnswered,
+  /// kInProgress or kOtherBody. Empty if the key is free or the table does not
+  /// answer.
+  Task<std::optional<ClaimDecision>> Inspect(std::string key,
+                                             std::string digest);
+
   /// Abandons a claim whose call was not sent and replaces it by `released`
   /// in the background. False if the call was sent.
   bool Release(const std::shared_ptr<Claim>& claim,
--- a/packages/calls/src/calls/once_plain_service.cc
+++ b/packages/calls/src/calls/once_plain_service.cc
@@ -48,7 +48,11 @@
 Task<ServiceResponse> OncePlainService::Run(ServiceRequest request) {
   bool idempotent = false;
   if (auto refused = this->Enter(request, idempotent)) {
-    co_return std::move(*refused);
+    if (idempotent || !refused->result.retry_after) {
+      co_return std::move(*refused);
+    }
+    co_return co_await this->RefuseOnce(std::move(request),
+                                        std::move(*refused));
   }
   Progress progress;
   progress.deadline = this->clock.Now() + request.deadline;
@@ -124,7 +128,9 @@
 
 Task<ServiceResponse> OncePlainService::RunOnce(Progress& progress) {
   if (!this->ChooseServer(progress)) {
-    co_return this->NotRun(NoServer(), true);
+    ServiceResponse refusal = this->NotRun(NoServer(), true);
+    co_return co_await this->RefuseOnce(std::move(progress.request),
+                                        std::move(refusal));
   }
   const auto& request = progress.request;
   std::string key =
@@ -138,6 +144,19 @@
   co_return co_await this->SendClaimed(progress, decision.claim);
 }
 
+Task<ServiceResponse> OncePlainService::RefuseOnce(ServiceRequest request,
+                                                   ServiceResponse refusal) {
+  std::string key =
+      ClaimItemKey(request.workspace, request.service, request.idempotency_key);
+  std::string digest = ClaimDigest(request.operation, request.body);
+  const auto earlier =
+      co_await this->claims.Inspect(std::move(key), std::move(digest));
+  if (earlier) {
+    co_return this->AnswerClaim(*earlier);
+  }
+  co_return refusal;
+}
+
 Task<ServiceResponse> OncePlainService::SendClaimed(
     Progress& progress, std::shared_ptr<Claim> claim) {
   const auto executor = co_await asio::this_coro::executor;
--- a/packages/calls/src/calls/once_plain_service.h
+++ b/packages/calls/src/calls/once_plain_service.h
@@ -53,6 +53,10 @@
                                        bool& idempotent);
   Task<ServiceResponse> RunIdempotent(Progress& progress);
   Task<ServiceResponse> RunOnce(Progress& progress);
+  /// `refusal`, unless an earlier request with the key may have run: a caller
+  /// must not take its refusal as word that the call never ran.
+  Task<ServiceResponse> RefuseOnce(ServiceRequest request,
+                                   ServiceResponse refusal);
   Task<ServiceResponse> SendClaimed(Progress& progress,
                                     std::shared_ptr<Claim> claim);
   Task<Result<ServiceReply>> CallServer(const Progress& progress,
--- a/packages/calls/tests/calls/deployment.h
+++ b/packages/calls/tests/calls/deployment.h
@@ -28,6 +28,10 @@
   }
 
   void RemoveConfiguration() { this->configuration_writer->Publish({}); }
+  /// Takes this daemon's share of every class away.
+  void RemoveShares(TimePoint now) {
+    this->admission.Update(MakeConfiguration(), {}, now);
+  }
   void RemoveBackends() { this->backends_writer->Publish({}); }
 
   Blackboard blackboard;
--- a/packages/calls/tests/calls/once_plain_service_test.cc
+++ b/packages/calls/tests/calls/once_plain_service_test.cc
@@ -215,6 +215,30 @@
   CHECK(world.state.runs_by_key["k"] == 1);
 }
 
+TEST_CASE("A refused repeat of a key is told what became of the key",
+          "[once]") {
+  // A caller who was told `unknown` and then `not_run` would believe that the
+  // call did not run.
+  const bool answered = GENERATE(false, true);
+  const auto fate = answered ? ServiceFate::kAnswer : ServiceFate::kLoseAnswer;
+  ClaimWorld world(First(TableFate::kApply, fate), WorldMutation::kNone, 2);
+  world.Start(0, MakeServiceRequest("r1", "hold", "k", 2s));
+  world.Advance(100ms);
+  auto& other = world.daemons[1]->deployment;
+
+  SECTION("where the class has no share") {
+    other.RemoveShares(qp::TimePoint{});
+  }
+  SECTION("where no server is routable") { other.RemoveBackends(); }
+  world.Start(1, MakeServiceRequest("r2", "hold", "k", 2s));
+  world.Start(1, MakeServiceRequest("r3", "hold", "new", 2s));
+  world.Advance(100ms);
+  CHECK(world.responses["r2"].result.outcome ==
+        (answered ? Outcome::kComplete : Outcome::kUnknown));
+  CHECK(world.responses["r3"].result.outcome == Outcome::kNotRun);
+  CHECK(world.state.runs_by_key["k"] == 1);
+}
+
 TEST_CASE("An owner paused between claim and send does not send late",
           "[once]") {
   ClaimWorld world({}, WorldMutation::kNone, 2);
--- a/packages/gateway/tests/gateway/caller_api_test.cc
+++ b/packages/gateway/tests/gateway/caller_api_test.cc
@@ -61,7 +61,7 @@
 
 struct Fixture {
   Fixture() {
-    this->configuration->Publish({TestConfiguration(), {}});
+    this->configuration->Publish({TestConfiguration()});
     this->readiness->Publish({true, false, ""});
   }
 
