Avoid the whole chain that fell silent; let engines add members to errors

(1) An engine's kv_missing error has a member that the daemon did not know, which made it a malformed record. (2) A stage behind the first fell silent; the daemon blamed the first one, met the silent stage again and had no chain left. (3) A KV import that arrived late replaced the state of an answer that had gone on. Ruled out: too short a progress bound (0.4 s against 20 ms a token). Change: unknown members of engines' messages are left alone; after silence all stages of the chain are avoided while others can be had, and asked again over new connections when none are left; lost KV state blames nobody; a shorter import does not replace a longer state. Check: the fake engines' rule was 'the latest failed engine is not used again'. It is now: no engine that a failure named is used again, and none of a silent chain while another chain is untried.

--- a/packages/calls/src/calls/pipeline_call.cc
+++ b/packages/calls/src/calls/pipeline_call.cc
@@ -265,7 +265,7 @@
   if (!view->value.configuration) {
     return std::nullopt;
   }
-  auto next = this->Choose(*view->value.configuration);
+  auto next = this->ChooseAvoiding(*view->value.configuration);
   if (!next || this->Remaining() <= next->predicted_first_token) {
     return std::nullopt;
   }
@@ -275,6 +275,44 @@
   return next;
 }
 
+/// A chain without failed engines and suspects if there is one; otherwise one
+/// without the failed ones and the silent chain's first stage, then any
+/// without the failed ones.
+std::optional<policy::Chain> PipelineCall::ChooseAvoiding(
+    const Configuration& configuration) {
+  const std::vector<std::string> failed = this->excluded;
+  auto next = std::optional<policy::Chain>();
+  if (!this->suspects.empty()) {
+    this->excluded.insert(this->excluded.end(), this->suspects.begin(),
+                          this->suspects.end());
+    next = this->Choose(configuration);
+    if (!next) {
+      this->excluded = failed;
+      this->excluded.push_back(this->chain.stages.front().engine);
+      next = this->Choose(configuration);
+    }
+    this->excluded = failed;
+  }
+  return next ? next : this->Choose(configuration);
+}
+
+void PipelineCall::Blame(const Error& error) {
+  // An engine that lost the stream's KV cache can rebuild it.
+  if (error.code == ErrorCode::kNotFound) {
+    return;
+  }
+  const std::string engine = this->FailedEngine(error);
+  const bool is_first = engine == this->chain.stages.front().engine;
+  if (error.code != ErrorCode::kTimeout || !is_first) {
+    this->excluded.push_back(engine);
+    return;
+  }
+  // The first stage is also silent while it waits for a later one.
+  for (const auto& stage : this->chain.stages) {
+    this->suspects.push_back(stage.engine);
+  }
+}
+
 Task<void> PipelineCall::ImportCache(const policy::Chain& next) {
   if (this->sequence.tokens().empty()) {
     co_return;
@@ -364,12 +402,12 @@
 
 PipelineCall::AttemptEnd PipelineCall::Fail(Error error) {
   this->failure = std::move(error);
-  this->excluded.push_back(this->FailedEngine(this->failure));
+  this->Blame(this->failure);
   this->context.events.Record(
       EventId::kAttemptFailed,
       {{"request", this->request.request_id},
        {"attempt", std::to_string(this->sequence.current_attempt())},
-       {"engine", this->excluded.back()},
+       {"engine", this->FailedEngine(this->failure)},
        {"error", ToString(this->failure)}});
   return AttemptEnd::kFailed;
 }
--- a/packages/calls/src/calls/pipeline_call.h
+++ b/packages/calls/src/calls/pipeline_call.h
@@ -66,6 +66,9 @@
   Task<AttemptEnd> TakeRecord(TokenRecord record);
   std::optional<AttemptEnd> TakeItemEnd(const StreamItem& item);
   std::optional<policy::Chain> ChooseNext();
+  std::optional<policy::Chain> ChooseAvoiding(
+      const Configuration& configuration);
+  void Blame(const Error& error);
   Task<void> ImportCache(const policy::Chain& next);
 
   std::optional<policy::Chain> Choose(const Configuration& configuration);
@@ -91,7 +94,9 @@
   ModelSpec model;
   policy::Chain chain;
   std::unique_ptr<TokenStream> stream;
-  std::vector<std::string> excluded;
+  std::vector<std::string> excluded;  ///< Engines that failed the request.
+  /// Engines of a chain that fell silent: any of them may be the cause.
+  std::vector<std::string> suspects;
   Error failure;
   std::size_t tokens_at_start = 0;  ///< Of the current attempt.
   bool may_have_run = false;
--- a/packages/calls/tests/calls/fake_engines.h
+++ b/packages/calls/tests/calls/fake_engines.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -84,7 +85,11 @@
   std::vector<Transfer> transfers;
   std::size_t answer_length = 6;  ///< Tokens after which engines finish.
   std::size_t live_streams = 0;
-  std::string failed_engine;         ///< Named by the latest failure.
+  std::set<std::string> failed;  ///< Engines that a failure named.
+  /// Engines of chains that fell silent. Any may be the cause, or only an open
+  /// connection between two of them, so that one may be asked again if no
+  /// other is left.
+  std::set<std::string> silent;
   std::vector<StreamStep> scripted;  ///< Used before the choices.
   bool started = false;              ///< An engine may have run the request.
 
@@ -103,6 +108,22 @@
                                : StreamStep::kNext;
   }
 
+  /// Whether both stages have a replica that neither failed nor was silent.
+  bool HasUntriedChain() const {
+    for (const std::uint32_t first : {0U, kLayers / 2}) {
+      bool any = false;
+      for (const std::string replica : {"a", "b", "c"}) {
+        const std::string engine = replica + std::to_string(first);
+        any = any ||
+              (this->failed.count(engine) + this->silent.count(engine) == 0);
+      }
+      if (!any) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   void CheckOpen(const StreamRequest& request) {
     if (request.attempt != this->opened.size() + 1) {
       this->violation = "an attempt number was skipped or used twice";
@@ -114,9 +135,12 @@
       this->violation = "an attempt was opened before the former was ended";
     }
     for (const auto& stage : request.route) {
-      if (stage.engine == this->failed_engine) {
+      if (this->failed.count(stage.engine) > 0) {
         this->violation = "a failed engine was used again";
       }
+      if (this->silent.count(stage.engine) > 0 && this->HasUntriedChain()) {
+        this->violation = "a silent chain's engine was used before all others";
+      }
     }
   }
 
@@ -172,7 +196,13 @@
  private:
   Error Fail(ErrorCode code, std::size_t stage) {
     const auto& engine = this->request.route[stage].engine;
-    this->engines.failed_engine = engine;
+    if (code == ErrorCode::kTimeout) {
+      for (const auto& silent : this->request.route) {
+        this->engines.silent.insert(silent.engine);
+      }
+    } else {
+      this->engines.failed.insert(engine);
+    }
     return {code, "engine.stream", engine, ""};
   }
 
@@ -218,14 +248,14 @@
         }
         return record;
       case StreamStep::kGap:
-        this->engines.failed_engine = this->request.route.front().engine;
+        this->engines.failed.insert(this->request.route.front().engine);
         record.token = "t" + std::to_string(this->position + 1);
         if (broken != EngineMutation::kSkipsPosition) {
           ++record.position;
         }
         return record;
       case StreamStep::kPartial:
-        this->engines.failed_engine = this->request.route.front().engine;
+        this->engines.failed.insert(this->request.route.front().engine);
         record.token = "partial";
         if (broken != EngineMutation::kPartialAsFull) {
           record.first_layer = kLayers / 2;
@@ -265,14 +295,14 @@
   Error error{ErrorCode::kUnavailable, "engine.open", first, ""};
   if (fate == 1 || fate == 2) {
     error.code = fate == 1 ? ErrorCode::kUnavailable : ErrorCode::kRefused;
-    this->failed_engine = first;
+    this->failed.insert(first);
     co_return error;
   }
   this->started = true;
   if (fate == 3) {
     co_await SleepFor(this->clock, bound);
     error.code = ErrorCode::kUnknownEffect;
-    this->failed_engine = first;
+    this->failed.insert(first);
     co_return error;
   }
   co_return std::make_unique<FakeStream>(*this, std::move(request));
--- a/packages/calls/tests/calls/pipeline_chat_service_test.cc
+++ b/packages/calls/tests/calls/pipeline_chat_service_test.cc
@@ -153,6 +153,24 @@
   REQUIRE(result);
   CHECK(result->outcome == Outcome::kComplete);
   CHECK(scene.sink.tokens == Tokens(6));
+  // Any stage may be the silent one: the first one also waits for the others.
+  REQUIRE(scene.engines.opened.size() == 2);
+  for (const auto& before : scene.engines.opened[0].route) {
+    for (const auto& after : scene.engines.opened[1].route) {
+      CHECK(before.engine != after.engine);
+    }
+  }
+}
+
+TEST_CASE("Silence that comes again does not end the answer", "[chat]") {
+  // Every chain of two replicas falls silent once; the path works again later.
+  Scene scene;
+  scene.engines.scripted = {StreamStep::kNext, StreamStep::kSilent,
+                            StreamStep::kSilent, StreamStep::kSilent};
+  const auto result = scene.Ask(20s, 5s);
+  REQUIRE(result);
+  CHECK(result->outcome == Outcome::kComplete);
+  CHECK(scene.sink.tokens == Tokens(6));
 }
 
 TEST_CASE("Giving up says truthfully whether the question started", "[chat]") {
--- a/packages/config/src/config/json_reader.cc
+++ b/packages/config/src/config/json_reader.cc
@@ -161,7 +161,7 @@
 }
 
 void JsonReader::Finish() {
-  if (!this->value.is_object()) {
+  if (this->allows_unknown || !this->value.is_object()) {
     return;
   }
   for (const auto& [key, member] : this->value.items()) {
--- a/packages/config/src/config/json_reader.h
+++ b/packages/config/src/config/json_reader.h
@@ -75,6 +75,9 @@
   void Report(const char* key, std::string expected);
   bool Has(const char* key) const;
 
+  /// Leaves unknown members alone, for messages of systems that may add some.
+  void AllowUnknown() { this->allows_unknown = true; }
+
   /// Reports the members that were not asked for. Call once, at the end.
   void Finish();
 
@@ -87,6 +90,7 @@
   std::string pointer;
   std::vector<Mistake>& mistakes;
   std::set<std::string> known;
+  bool allows_unknown = false;
 };
 
 }  // namespace qp
--- a/packages/gateway/src/gateway/engine_messages.cc
+++ b/packages/gateway/src/gateway/engine_messages.cc
@@ -61,6 +61,9 @@
       return code;
     }
   }
+  if (name == "kv_missing") {
+    return ErrorCode::kNotFound;
+  }
   // Engines name further causes, such as a lost connection to the next stage.
   return ErrorCode::kUnavailable;
 }
@@ -70,6 +73,7 @@
   failure.request = reader.String("request");
   failure.attempt = ReadU32(reader, "attempt");
   reader.Object("error", [&failure](JsonReader& error) {
+    error.AllowUnknown();
     const std::string code = error.String("code");
     failure.error = {CodeOf(code), error.StringOr("step", "engine.stream"),
                      error.StringOr("peer", ""), code};
--- a/packages/gateway/tests/gateway/http_engine_client_test.cc
+++ b/packages/gateway/tests/gateway/http_engine_client_test.cc
@@ -131,6 +131,15 @@
   CHECK(failed.error.peer == "e2");
   CHECK(failed.error.detail == "peer_lost");
 
+  // A member that is not known must not turn a failure into a malformed record.
+  const auto extended = qp::ReadStreamItem(
+      R"({"request":"r","attempt":2,"more":1,"error":{"code":"kv_missing",)"
+      R"("peer":"e2","step":"engine.step","have":3}})",
+      "a");
+  REQUIRE(extended.has_value());
+  CHECK(std::get<qp::StreamFailure>(extended.value()).error.code ==
+        ErrorCode::kNotFound);
+
   const auto* line =
       GENERATE("", "[]", "{", R"({"request":"r","attempt":2})",
                R"({"request":"r","attempt":-1,"position":0,"token":"a",)"
--- a/packages/standins/src/standins/engine_standin.cc
+++ b/packages/standins/src/standins/engine_standin.cc
@@ -476,7 +476,12 @@
   for (const auto& item : body.at("layers")) {
     const auto layer = item.at("layer").get<std::uint32_t>();
     if (this->Holds({layer, layer})) {
-      item.at("digests").get_to(entry.layers[layer]);
+      auto digests = item.at("digests").get<std::vector<std::string>>();
+      // An import that arrives late must not replace the state of an answer
+      // that went on meanwhile.
+      if (digests.size() > entry.layers[layer].size()) {
+        entry.layers[layer] = std::move(digests);
+      }
       ++imported;
     }
   }
