Wait for an answer on its way before a refused repeat is unknown

Ruled out: a lost answer of the table (the claim was read in state started). Change: the look at a claim waits as long as a normal repeat does; only a shorter import is left out.

--- a/packages/blackboard/src/blackboard/views.h
+++ b/packages/blackboard/src/blackboard/views.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "config/configuration.h"
@@ -18,6 +19,9 @@
 
 enum class MemberState { kAlive, kSuspect, kLeaving, kGone };
 
+/// Lower-case name, as in reports and metrics.
+std::string_view ToString(MemberState state);
+
 /// A daemon as seen from this one.
 struct Member {
   std::string node;
--- a/packages/calls/src/calls/claim_protocol.cc
+++ b/packages/calls/src/calls/claim_protocol.cc
@@ -9,6 +9,28 @@
 
 namespace qp {
 
+namespace {
+
+/// Verdict on another request's claim; empty if the key is free.
+std::optional<ClaimDecision> Inspected(const nlohmann::json& item,
+                                       std::string_view digest) {
+  const auto found = ParseClaimItem(item);
+  if (found && found->state == ClaimItemState::kReleased) {
+    return std::nullopt;
+  }
+  ClaimDecision decision;
+  decision.verdict = ClaimVerdict::kInProgress;
+  if (found && found->digest != digest) {
+    decision.verdict = ClaimVerdict::kOtherBody;
+  } else if (found && found->state == ClaimItemState::kDone) {
+    decision.verdict = ClaimVerdict::kAnswered;
+    decision.answer = found->answer;
+  }
+  return decision;
+}
+
+}  // namespace
+
 /// Progress of one claim; shared with the coroutine that negotiates it, which
 /// may still wait for the table after the caller was answered.
 struct ClaimProtocol::Attempt {
@@ -173,23 +195,20 @@
 
 Task<std::optional<ClaimDecision>> ClaimProtocol::Inspect(std::string key,
                                                           std::string digest) {
-  const auto read = co_await this->table.Read(std::move(key));
-  if (read.has_error() || !read.value()) {
-    co_return std::nullopt;
-  }
-  const auto found = ParseClaimItem(read.value()->value);
-  if (found && found->state == ClaimItemState::kReleased) {
-    co_return std::nullopt;
-  }
-  ClaimDecision decision;
-  decision.verdict = ClaimVerdict::kInProgress;
-  if (found && found->digest != digest) {
-    decision.verdict = ClaimVerdict::kOtherBody;
-  } else if (found && found->state == ClaimItemState::kDone) {
-    decision.verdict = ClaimVerdict::kAnswered;
-    decision.answer = found->answer;
+  const TimePoint busy_until = this->clock.Now() + kBusyWait;
+  for (;;) {
+    const auto read = co_await this->table.Read(key);
+    if (read.has_error() || !read.value()) {
+      co_return std::nullopt;
+    }
+    auto decision = Inspected(read.value()->value, digest);
+    const bool in_progress =
+        decision && decision->verdict == ClaimVerdict::kInProgress;
+    if (!in_progress || this->clock.Now() >= busy_until) {
+      co_return decision;
+    }
+    co_await SleepFor(this->clock, kBusyPoll);
   }
-  co_return decision;
 }
 
 bool ClaimProtocol::Release(const std::shared_ptr<Claim>& claim,
--- a/packages/calls/src/calls/claim_protocol.h
+++ b/packages/calls/src/calls/claim_protocol.h
@@ -56,8 +56,8 @@
                               TimePoint deadline);
 
   /// What an earlier request made of `key`, without claiming it: kAnswered,
-  /// kInProgress or kOtherBody. Empty if the key is free or the table does not
-  /// answer.
+  /// kInProgress or kOtherBody. Waits up to kBusyWait for an answer. Empty if
+  /// the key is free or the table does not answer.
   Task<std::optional<ClaimDecision>> Inspect(std::string key,
                                              std::string digest);
 
--- a/packages/calls/tests/calls/once_plain_service_test.cc
+++ b/packages/calls/tests/calls/once_plain_service_test.cc
@@ -232,13 +232,26 @@
   SECTION("where no server is routable") { other.RemoveBackends(); }
   world.Start(1, MakeServiceRequest("r2", "hold", "k", 2s));
   world.Start(1, MakeServiceRequest("r3", "hold", "new", 2s));
-  world.Advance(100ms);
+  world.Advance(qp::ClaimProtocol::kBusyWait + 100ms);
   CHECK(world.responses["r2"].result.outcome ==
         (answered ? Outcome::kComplete : Outcome::kUnknown));
   CHECK(world.responses["r3"].result.outcome == Outcome::kNotRun);
   CHECK(world.state.runs_by_key["k"] == 1);
 }
 
+TEST_CASE("A refused repeat waits for an answer that is on its way", "[once]") {
+  ClaimWorld world({}, WorldMutation::kNone, 2);
+  world.daemons[1]->deployment.RemoveShares(qp::TimePoint{});
+  world.Start(0, MakeServiceRequest("r1", "hold", "k", 2s));
+  // The claim is written, its call is not answered yet.
+  world.Advance(6ms);
+  world.Start(1, MakeServiceRequest("r2", "hold", "k", 2s));
+  world.Advance(200ms);
+  REQUIRE(world.responses.count("r2") == 1);
+  CHECK(world.responses["r2"].result.outcome == Outcome::kComplete);
+  CHECK(world.state.runs_by_key["k"] == 1);
+}
+
 TEST_CASE("An owner paused between claim and send does not send late",
           "[once]") {
   ClaimWorld world({}, WorldMutation::kNone, 2);
--- a/packages/daemon/src/daemon/report_json.cc
+++ b/packages/daemon/src/daemon/report_json.cc
@@ -4,32 +4,14 @@
 
 namespace qp {
 
-namespace {
-
 using nlohmann::json;
 
-std::string_view NameOf(MemberState state) {
-  switch (state) {
-    case MemberState::kAlive:
-      return "alive";
-    case MemberState::kSuspect:
-      return "suspect";
-    case MemberState::kLeaving:
-      return "leaving";
-    case MemberState::kGone:
-      return "gone";
-  }
-  return "gone";
-}
-
-}  // namespace
-
 json ToJson(const Member& member) {
   return {{"node", member.node},
           {"peer_address", member.peer_address},
           {"region", member.region},
           {"availability_zone", member.availability_zone},
-          {"state", NameOf(member.state)},
+          {"state", ToString(member.state)},
           {"configuration_version", member.configuration_version}};
 }
 
--- a/packages/gateway/src/gateway/blackboard_gauges.cc
+++ b/packages/gateway/src/gateway/blackboard_gauges.cc
@@ -13,20 +13,6 @@
 
 using Series = std::map<Labels, double>;
 
-std::string_view NameOf(MemberState state) {
-  switch (state) {
-    case MemberState::kAlive:
-      return "alive";
-    case MemberState::kSuspect:
-      return "suspect";
-    case MemberState::kLeaving:
-      return "leaving";
-    case MemberState::kGone:
-      return "gone";
-  }
-  return "gone";
-}
-
 std::string_view StateOf(const Backend& backend) {
   if (!backend.reachable) {
     return "unreachable";
@@ -42,10 +28,10 @@
   Series series;
   for (const MemberState state : {MemberState::kAlive, MemberState::kSuspect,
                                   MemberState::kLeaving, MemberState::kGone}) {
-    series[{{"state", std::string(NameOf(state))}}] = 0;
+    series[{{"state", std::string(ToString(state))}}] = 0;
   }
   for (const Member& member : view.members) {
-    ++series[{{"state", std::string(NameOf(member.state))}}];
+    ++series[{{"state", std::string(ToString(member.state))}}];
   }
   return series;
 }
--- a/packages/standins/src/standins/engine_standin.cc
+++ b/packages/standins/src/standins/engine_standin.cc
@@ -479,7 +479,7 @@
       auto digests = item.at("digests").get<std::vector<std::string>>();
       // An import that arrives late must not replace the state of an answer
       // that went on meanwhile.
-      if (digests.size() > entry.layers[layer].size()) {
+      if (digests.size() >= entry.layers[layer].size()) {
         entry.layers[layer] = std::move(digests);
       }
       ++imported;
