Answer a request that does not come to its end with 408

Cause: a slow request was closed without a word, while the header promised 408. Change: the bound on reading ends only the reading; the answer is still written. An idle connection is closed silently, as before. Result: the new test was red and passes; http 35 assertions in 6 cases.

--- a/packages/http/src/http/server.cc
+++ b/packages/http/src/http/server.cc
@@ -59,7 +59,7 @@
              const ServerLimits& limits)
       : socket(std::move(accepted)),
         read_watchdog(clock, io.get_executor(), limits.read_bound,
-                      [this] { this->Close(); }),
+                      [this] { this->EndReading(); }),
         write_watchdog(clock, io.get_executor(), limits.write_bound,
                        [this] { this->Close(); }) {}
 
@@ -70,6 +70,12 @@
     this->peer_gone = true;
   }
 
+  /// Ends a pending read; an answer can still be written.
+  void EndReading() {
+    boost::system::error_code ignored;
+    this->socket.shutdown(tcp::socket::shutdown_receive, ignored);
+  }
+
   /// Notices when the client closes while its request is served.
   void WatchForEnd() {
     this->socket.async_wait(
@@ -254,7 +260,11 @@
   parser.body_limit(state->limits.max_body_bytes);
   const auto failure = co_await ReadRequest(connection, parser, state->limits);
   if (failure) {
-    if (const auto status = StatusOfReadFailure(failure)) {
+    // Silence between requests is no mistake of the client.
+    const bool slow = connection->read_watchdog.expired() && parser.got_some();
+    const auto status = slow ? std::optional(Status::request_timeout)
+                             : StatusOfReadFailure(failure);
+    if (status) {
       ConnectionResponder responder(connection, false);
       std::ignore = co_await responder.Send(RefusalOf(*status));
     }
--- a/packages/http/tests/http/exchange_test.cc
+++ b/packages/http/tests/http/exchange_test.cc
@@ -1,3 +1,4 @@
+#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 #include <tuple>
 
@@ -122,6 +123,25 @@
   CHECK(response->value().result() == qp::http::Status::payload_too_large);
 }
 
+TEST_CASE("A request that does not come to its end is refused with 408",
+          "[http]") {
+  Fixture fixture;
+  const auto port = fixture.address.substr(fixture.address.rfind(':') + 1);
+  qp::asio::ip::tcp::socket socket(fixture.runtime.io());
+  socket.connect({qp::asio::ip::make_address("127.0.0.1"),
+                  static_cast<std::uint16_t>(std::stoul(port))});
+  const std::string partial =
+      "POST /echo HTTP/1.1\r\nContent-Length: 9\r\n\r\nx";
+  socket.send(qp::asio::buffer(partial));
+  fixture.runtime.Advance(11s, 100ms);
+
+  std::string answer(512, '\0');
+  boost::system::error_code failure;
+  socket.non_blocking(true);
+  answer.resize(socket.receive(qp::asio::buffer(answer), 0, failure));
+  CHECK(answer.starts_with("HTTP/1.1 408"));
+}
+
 TEST_CASE("A streamed body is read line by line", "[http]") {
   Fixture fixture;
   const auto open = [&](std::string_view target) {
