Let the first call of the claimed key be admitted before its repeats

Cause: claimed_key_test failed in 1 of 2 full runs: the trace shows the first call refused at service.admit (class_over_target) before any claim was written, which is truthfully not_run, as is the repeat before a claim exists.

--- a/tests/process/recovery_bench.py
+++ b/tests/process/recovery_bench.py
@@ -218,20 +218,24 @@
     arguments = parser.parse_args()
     build_dir = os.path.abspath(os.environ.get("BUILD_DIR", "build"))
     results = []
+
+    def report(result):
+        if result:
+            results.append(result)
+            figures = "  ".join(
+                f"{key} {value:.3f}" for key, value in result.items() if isinstance(value, float))
+            print(f"{result['name']:42} {result['runs']:5} runs  {result['unit']:5}  {figures}",
+                  flush=True)
+
     with ProcessGroup(build_dir) as group:
         bench = Bench(group, arguments.runs)
-        results.append(bench.stage_fault("stage killed: next token", lambda e: e.kill()))
-        results.append(bench.stage_fault("stage silent: next token", lambda e: e.switch(silent=True)))
-        results.append(bench.table_outage())
-        results.append(bench.added_latency())
+        report(bench.stage_fault("stage killed: next token", lambda e: e.kill()))
+        report(bench.stage_fault("stage silent: next token", lambda e: e.switch(silent=True)))
+        report(bench.table_outage())
+        report(bench.added_latency())
         failed = len(bench.failed)
-    results.append(measure_daemon_loss(build_dir, arguments.runs))
-    results = [r for r in results if r]
+    report(measure_daemon_loss(build_dir, arguments.runs))
     print(f"seed {SEED}; answers that were lost: {failed}")
-    for result in results:
-        figures = "  ".join(
-            f"{key} {value:.3f}" for key, value in result.items() if isinstance(value, float))
-        print(f"{result['name']:42} {result['runs']:5} runs  {result['unit']:5}  {figures}")
     if arguments.output:
         with open(arguments.output, "w") as file:
             json.dump({"seed": SEED, "lost": failed, "results": results}, file, indent=2)
--- a/tests/process/router_test.py
+++ b/tests/process/router_test.py
@@ -203,7 +203,9 @@
     def test_a_repeat_of_a_claimed_key_is_never_told_not_run(self):
         for service in self.deployment.services:
             service.switch(lose_answer=True)
-        entries = [self.once(self.daemons[0], "first", "key-claimed")]
+        # Only a call that was admitted claims the key; a refusal before that
+        # is truthfully not_run.
+        entries = [self.once_until_run(self.daemons[0], "first", "key-claimed")]
         entries += [self.once(d, f"again-{d.name}", "key-claimed") for d in self.daemons]
         self.assert_outcomes(entries, "unknown")
         self.assertEqual(self.executions("key-claimed"), 1)
