--- a/cmake/QpPackage.cmake
+++ b/cmake/QpPackage.cmake
@@ -25,7 +25,7 @@
   target_link_libraries(qp_${name} ${scope} qp_options ${arg_DEPS} ${arg_LIBS})
 
   file(GLOB_RECURSE tests CONFIGURE_DEPENDS ${root}/tests/*.cc)
-  if(tests)
+  if(tests AND QP_TESTS)
     add_executable(qp_${name}_tests ${tests} ${CMAKE_SOURCE_DIR}/packages/testing/src/testing/catch_main.cc)
     target_include_directories(qp_${name}_tests PRIVATE ${CMAKE_SOURCE_DIR}/packages/testing/src ${root}/tests)
     target_compile_definitions(qp_${name}_tests PRIVATE QP_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
--- /dev/null
+++ b/packages/apps/quetzalpostd/entry.cc
@@ -0,0 +1,176 @@
+#include "entry.h"
+
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <caf/actor_system.hpp>
+#include <caf/actor_system_config.hpp>
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+#include "exit_codes.h"
+#include "foundation/caf_clock.h"
+#include "foundation/stdout_appender.h"
+#include "foundation/timeline.h"
+#include "foundation/wait.h"
+#include "platform/adapter.h"
+#include "relay/entry_daemon.h"
+
+namespace qp {
+
+namespace {
+
+/// Time between two looks at the settings file, which may change without a
+/// signal.
+constexpr Duration kSettingsInterval = std::chrono::seconds(5);
+/// Events kept for the time line. A VM has some hundred megabytes.
+constexpr std::size_t kTimelineCapacity = 512;
+
+Result<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    return Error{ErrorCode::kNotFound, "settings.read", path,
+                 "the file cannot be read"};
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+Result<relay::EntrySettings> LoadSettings(const std::string& path,
+                                          std::string* text) {
+  BOOST_OUTCOME_TRY(content, ReadFile(path));
+  if (text != nullptr) {
+    *text = content;
+  }
+  return relay::ParseEntrySettings(content);
+}
+
+log4cplus::LogLevel LevelOf(const std::string& name) {
+  if (name == "debug") {
+    return log4cplus::DEBUG_LOG_LEVEL;
+  }
+  if (name == "warning") {
+    return log4cplus::WARN_LOG_LEVEL;
+  }
+  return name == "error" ? log4cplus::ERROR_LOG_LEVEL
+                         : log4cplus::INFO_LOG_LEVEL;
+}
+
+void ConfigureLogging(const std::string& level) {
+  log4cplus::SharedAppenderPtr appender(new StdoutAppender());
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+  auto root = log4cplus::Logger::getRoot();
+  root.addAppender(appender);
+  root.setLogLevel(LevelOf(level));
+}
+
+std::uint64_t RandomSeed() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32) | device();
+}
+
+int Report(const Error& error, int code) {
+  std::cerr << "quetzalpostd: " << ToString(error) << "\n";
+  return code;
+}
+
+/// Takes over the settings file whenever it has changed.
+class SettingsWatch {
+ public:
+  SettingsWatch(std::string file, std::string text, relay::EntryDaemon& target)
+      : path(std::move(file)), content(std::move(text)), daemon(target) {}
+
+  void Check() {
+    std::string text;
+    const auto settings = LoadSettings(this->path, &text);
+    if (text == this->content) {
+      return;
+    }
+    this->content = text;
+    if (settings) {
+      this->daemon.Reload(settings.value());
+    } else {
+      Report(settings.error(), 0);  // The former settings stay in use.
+    }
+  }
+
+  Task<void> Run(Clock& clock) {
+    while (true) {
+      co_await SleepFor(clock, kSettingsInterval);
+      this->Check();
+    }
+  }
+
+ private:
+  std::string path;
+  std::string content;
+  relay::EntryDaemon& daemon;
+};
+
+int Serve(const std::string& path, const std::string& text,
+          relay::EntrySettings settings) {
+  log4cplus::Initializer logging;
+  ConfigureLogging(settings.log_level);
+  caf::actor_system_config config;
+  // One waiting thread: work stealing polls, and each wake-up costs.
+  config.set("scheduler.policy", caf::atom("sharing"));
+  config.set("scheduler.max-threads", 1);
+  caf::actor_system actors(config);
+  CafClock clock(actors);
+  asio::io_context io(1);
+  Timeline events(clock, settings.node, LogFormat::kJson, kTimelineCapacity);
+  platform::Adapter adapter(io, clock, settings);
+  relay::EntryDaemon daemon(std::move(settings), adapter.services(), io, clock,
+                            events, RandomSeed());
+  if (const auto started = daemon.Start(); !started) {
+    return Report(started.error(), kExitStart);
+  }
+  SettingsWatch watch(path, text, daemon);
+  asio::co_spawn(io, watch.Run(clock), asio::detached);
+  asio::signal_set stop(io, SIGTERM, SIGINT);
+  stop.async_wait([&daemon](boost::system::error_code failure, int) {
+    if (!failure) {
+      daemon.BeginDrain();
+    }
+  });
+  asio::signal_set reload(io, SIGHUP);
+  std::function<void(boost::system::error_code, int)> on_reload =
+      [&](boost::system::error_code failure, int) {
+        if (!failure) {
+          watch.Check();
+          reload.async_wait(on_reload);
+        }
+      };
+  reload.async_wait(on_reload);
+  io.run();
+  // Coroutines that still wait refer to objects of this function.
+  std::quick_exit(EXIT_SUCCESS);
+}
+
+}  // namespace
+
+int RunEntry(const std::string& settings_path, bool check_only) {
+  std::string path = settings_path;
+  if (path.empty()) {
+    auto named = platform::SettingsPath();
+    if (!named) {
+      return Report(named.error(), kExitUsage);
+    }
+    path = named.value();
+  }
+  std::string text;
+  auto settings = LoadSettings(path, &text);
+  if (!settings) {
+    return Report(settings.error(), kExitUsage);
+  }
+  return check_only ? EXIT_SUCCESS : Serve(path, text, settings.value());
+}
+
+}  // namespace qp
--- a/packages/apps/quetzalpostd/main.cc
+++ b/packages/apps/quetzalpostd/main.cc
@@ -17,14 +17,16 @@
 
 #include "config/daemon_settings.h"
 #include "daemon/daemon.h"
+#include "entry.h"
+#include "exit_codes.h"
 #include "foundation/asio.h"
 #include "foundation/caf_clock.h"
 #include "foundation/event.h"
 
 namespace {
 
-constexpr int kExitUsage = 2;
-constexpr int kExitStart = 3;
+using qp::kExitStart;
+using qp::kExitUsage;
 constexpr const char* kVersion = "0.1.0";
 
 cxxopts::Options MakeOptions() {
@@ -32,6 +34,9 @@
                            "Routes requests to model pipelines and services.");
   options.add_options()("settings", "JSON file with the settings",
                         cxxopts::value<std::string>())(
+      "entry",
+      "Relay a deployment's requests on the users' platform; without "
+      "--settings, from the file that the platform names")(
       "check-settings", "Check the settings and exit")(
       "list-events", "Print the catalogue of events as Markdown and exit")(
       "version", "Print the version and exit")("help", "Print this help");
@@ -139,6 +144,12 @@
       std::cout << qp::EventCatalogueMarkdown();
       return EXIT_SUCCESS;
     }
+    if (arguments.count("entry") > 0) {
+      const bool named = arguments.count("settings") > 0;
+      return qp::RunEntry(
+          named ? arguments["settings"].as<std::string>() : std::string(),
+          arguments.count("check-settings") > 0);
+    }
     if (arguments.count("settings") == 0) {
       std::cerr << "quetzalpostd: --settings is required\n";
       return kExitUsage;
--- a/packages/calls/src/calls/claim_protocol.h
+++ b/packages/calls/src/calls/claim_protocol.h
@@ -12,7 +12,7 @@
 #include "foundation/clock.h"
 #include "foundation/error.h"
 #include "foundation/event.h"
-#include "platform/table.h"
+#include "storage/table.h"
 
 namespace qp {
 
--- a/packages/calls/tests/calls/claim_world.h
+++ b/packages/calls/tests/calls/claim_world.h
@@ -12,7 +12,7 @@
 #include "calls/deployment.h"
 #include "calls/once_plain_service.h"
 #include "foundation/wait.h"
-#include "platform/grouped_table.h"
+#include "storage/grouped_table.h"
 #include "testing/test_runtime.h"
 
 namespace qp::testing {
--- a/packages/daemon/src/daemon/backend_controller.h
+++ b/packages/daemon/src/daemon/backend_controller.h
@@ -12,7 +12,7 @@
 #include "foundation/asio.h"
 #include "foundation/clock.h"
 #include "foundation/event.h"
-#include "platform/vm_list.h"
+#include "storage/vm_list.h"
 
 namespace qp {
 
--- a/packages/daemon/src/daemon/backend_status.h
+++ b/packages/daemon/src/daemon/backend_status.h
@@ -4,7 +4,7 @@
 #include <string_view>
 
 #include "cluster/observation.h"
-#include "platform/vm_list.h"
+#include "storage/vm_list.h"
 
 namespace qp {
 
--- a/packages/daemon/src/daemon/bill_json.h
+++ b/packages/daemon/src/daemon/bill_json.h
@@ -6,7 +6,7 @@
 
 #include "blackboard/views.h"
 #include "config/configuration.h"
-#include "platform/usage_store.h"
+#include "storage/usage_store.h"
 
 namespace qp {
 
--- a/packages/daemon/src/daemon/configuration_controller.cc
+++ b/packages/daemon/src/daemon/configuration_controller.cc
@@ -6,8 +6,8 @@
 #include "daemon/cluster_handle.h"
 #include "daemon/generation_json.h"
 #include "foundation/wait.h"
-#include "platform/configuration_store.h"
-#include "platform/table.h"
+#include "storage/configuration_store.h"
+#include "storage/table.h"
 
 namespace qp {
 
--- a/packages/daemon/src/daemon/daemon.cc
+++ b/packages/daemon/src/daemon/daemon.cc
@@ -24,13 +24,13 @@
 #include "gateway/operator_api.h"
 #include "http/client.h"
 #include "http/server.h"
-#include "platform/configuration_store.h"
-#include "platform/grouped_table.h"
-#include "platform/http_table.h"
-#include "platform/http_vm_list.h"
-#include "platform/lease.h"
-#include "platform/monitored_table.h"
-#include "platform/usage_store.h"
+#include "storage/configuration_store.h"
+#include "storage/grouped_table.h"
+#include "storage/http_table.h"
+#include "storage/http_vm_list.h"
+#include "storage/lease.h"
+#include "storage/monitored_table.h"
+#include "storage/usage_store.h"
 
 namespace qp {
 
--- a/packages/daemon/src/daemon/daemon_operator_service.cc
+++ b/packages/daemon/src/daemon/daemon_operator_service.cc
@@ -10,8 +10,8 @@
 #include "foundation/wait.h"
 #include "gateway/blackboard_gauges.h"
 #include "gateway/timeline_json.h"
-#include "platform/configuration_store.h"
-#include "platform/usage_store.h"
+#include "storage/configuration_store.h"
+#include "storage/usage_store.h"
 
 namespace qp {
 
--- a/packages/daemon/src/daemon/placement_controller.cc
+++ b/packages/daemon/src/daemon/placement_controller.cc
@@ -6,7 +6,7 @@
 
 #include "foundation/wait.h"
 #include "http/client.h"
-#include "platform/lease.h"
+#include "storage/lease.h"
 
 namespace qp {
 
--- a/packages/daemon/src/daemon/spending_controller.cc
+++ b/packages/daemon/src/daemon/spending_controller.cc
@@ -2,7 +2,7 @@
 
 #include "daemon/backend_controller.h"
 #include "foundation/wait.h"
-#include "platform/usage_store.h"
+#include "storage/usage_store.h"
 
 namespace qp {
 
--- a/packages/foundation/src/foundation/event.cc
+++ b/packages/foundation/src/foundation/event.cc
@@ -111,6 +111,28 @@
     EventInfo{EventId::kConfigurationInForce, "configuration_in_force",
               Severity::kInfo,
               "A configuration version is in force on this daemon."},
+    EventInfo{EventId::kRelayRequestFinished, "relay_request_finished",
+              Severity::kInfo,
+              "A relayed request got its final answer, or its caller left."},
+    EventInfo{EventId::kRelayAttemptFailed, "relay_attempt_failed",
+              Severity::kWarning,
+              "A try of a relayed request failed or fell silent; the fields "
+              "say at which step and server."},
+    EventInfo{EventId::kServerSuspected, "server_suspected",
+              Severity::kWarning,
+              "A backend server gets no requests for a while."},
+    EventInfo{EventId::kRelayEntryUnreadable, "relay_entry_unreadable",
+              Severity::kWarning,
+              "An entry of the store could not be read and is not used."},
+    EventInfo{EventId::kSettingsReloaded, "settings_reloaded", Severity::kInfo,
+              "Changed settings are in use."},
+    EventInfo{EventId::kLogLinesSuppressed, "log_lines_suppressed",
+              Severity::kWarning,
+              "Lines about single requests were left out to bound the log."},
+    EventInfo{EventId::kServerListed, "server_listed", Severity::kInfo,
+              "The store lists a backend server or a new incarnation of it."},
+    EventInfo{EventId::kServerUnlisted, "server_unlisted", Severity::kInfo,
+              "A backend server is no longer listed and gets no requests."},
 };
 
 }  // namespace
--- a/packages/foundation/src/foundation/event.h
+++ b/packages/foundation/src/foundation/event.h
@@ -17,7 +17,7 @@
 
 /// Number of a log event. Numbers are stable; a retired one is not reused.
 /// 1xxx daemon, 2xxx gateway, 3xxx calls, 4xxx cluster, 5xxx platform,
-/// 6xxx policy and controllers.
+/// 6xxx policy and controllers, 7xxx relay.
 enum class EventId : std::uint16_t {
   kDaemonStarted = 1001,
   kDaemonReady = 1002,
@@ -68,6 +68,15 @@
   kOrderSent = 6006,
   kOrderRefused = 6007,
   kConfigurationInForce = 6008,
+
+  kRelayRequestFinished = 7001,
+  kRelayAttemptFailed = 7002,
+  kServerSuspected = 7003,
+  kRelayEntryUnreadable = 7004,
+  kSettingsReloaded = 7005,
+  kLogLinesSuppressed = 7006,
+  kServerListed = 7007,
+  kServerUnlisted = 7008,
 };
 
 /// Catalogue entry of an event.
--- a/packages/gateway/src/gateway/ctl/commands.cc
+++ b/packages/gateway/src/gateway/ctl/commands.cc
@@ -12,7 +12,7 @@
 #include "gateway/responses.h"
 #include "gateway/timeline_json.h"
 #include "gateway/url.h"
-#include "platform/configuration_store.h"
+#include "storage/configuration_store.h"
 
 namespace qp::ctl {
 
--- a/packages/gateway/src/gateway/operator_api.cc
+++ b/packages/gateway/src/gateway/operator_api.cc
@@ -6,7 +6,7 @@
 
 #include "gateway/bearer_token.h"
 #include "gateway/responses.h"
-#include "platform/configuration_store.h"
+#include "storage/configuration_store.h"
 
 namespace qp {
 
--- /dev/null
+++ b/packages/relay/src/relay/caller_listener.cc
@@ -0,0 +1,88 @@
+#include "relay/caller_listener.h"
+
+#include <vector>
+
+#include "http/endpoint.h"
+
+namespace qp::relay {
+
+namespace {
+
+using asio::ip::tcp;
+
+/// Pause after a failed accept, which mostly means that descriptors ran out.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+
+}  // namespace
+
+CallerListener::CallerListener(Relay& shared)
+    : relay(shared), acceptor(shared.io), retry_timer(shared.timers) {}
+
+Result<void> CallerListener::Listen(std::string_view address) {
+  BOOST_OUTCOME_TRY(endpoint, http::ParseEndpoint(address));
+  boost::system::error_code failure;
+  this->acceptor.open(endpoint.protocol(), failure);
+  if (!failure) {
+    this->acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+    this->acceptor.bind(endpoint, failure);
+  }
+  if (!failure) {
+    this->acceptor.listen(asio::socket_base::max_listen_connections, failure);
+  }
+  if (failure) {
+    return Error{ErrorCode::kUnavailable, "caller.listen", std::string(address),
+                 failure.message()};
+  }
+  this->Accept();
+  return Ok();
+}
+
+void CallerListener::Accept() {
+  this->acceptor.async_accept([this](boost::system::error_code failure,
+                                     tcp::socket socket) {
+    if (!this->acceptor.is_open()) {
+      return;
+    }
+    if (failure) {
+      this->retry_timer.Start(this->relay.Now() + kAcceptPause,
+                              [this] { this->Accept(); });
+      return;
+    }
+    auto session = std::make_shared<CallerSession>(this->relay,
+                                                   std::move(socket), *this);
+    this->open.emplace(session.get(), session);
+    session->Start();
+    this->Accept();
+  });
+}
+
+void CallerListener::StopAccepting() {
+  boost::system::error_code ignored;
+  this->acceptor.close(ignored);
+  this->retry_timer.Cancel();
+}
+
+void CallerListener::CloseIdle() {
+  std::vector<std::shared_ptr<CallerSession>> idle;
+  for (const auto& [key, session] : this->open) {
+    if (session->is_idle()) {
+      idle.push_back(session);
+    }
+  }
+  for (const auto& session : idle) {
+    session->Close();
+  }
+}
+
+void CallerListener::CloseAll() {
+  const auto sessions = this->open;
+  for (const auto& [key, session] : sessions) {
+    session->Close();
+  }
+}
+
+void CallerListener::OnSessionClosed(CallerSession* session) {
+  this->open.erase(session);
+}
+
+}  // namespace qp::relay
--- /dev/null
+++ b/packages/relay/src/relay/deployment_store.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "foundation/asio.h"
+#include "foundation/clock.h"
+#include "foundation/error.h"
+#include "relay/deployment.h"
+
+namespace qp::relay {
+
+/// The configuration as the store holds it at a revision.
+struct ConfigurationPage {
+  std::uint64_t revision = 0;
+  /// Empty if it has not changed, or was never written.
+  std::optional<DeploymentConfiguration> configuration;
+  std::string unreadable;  ///< Why an entry could not be used; empty if none.
+};
+
+/// One entry of the list of backend servers.
+struct ServerEntry {
+  std::string id;
+  /// Empty if the entry was removed or names no server to use.
+  std::optional<ServerRecord> record;
+  bool removed = false;
+};
+
+struct ServerPage {
+  std::uint64_t revision = 0;
+  std::vector<ServerEntry> entries;
+};
+
+/// What operators and backend servers write to the platform's store.
+/// Errors: kNotFound if the history since a revision is gone, kUnavailable or
+/// kUnknownEffect if the store did not answer.
+class DeploymentStore {
+ public:
+  virtual ~DeploymentStore() = default;
+  virtual Task<Result<ConfigurationPage>> ReadConfiguration() = 0;
+  /// Changes after `revision`; returns after `wait` if there are none.
+  virtual Task<Result<ConfigurationPage>> FollowConfiguration(
+      std::uint64_t revision, Duration wait) = 0;
+  virtual Task<Result<ServerPage>> ReadServers() = 0;
+  virtual Task<Result<ServerPage>> FollowServers(std::uint64_t revision,
+                                                 Duration wait) = 0;
+};
+
+/// How an engine took an order.
+enum class OrderOutcome {
+  kAccepted,
+  kConflict,  ///< Its state is not the one that the order was made for.
+  kRefused,
+};
+
+/// What an engine says of itself.
+struct EngineState {
+  std::int64_t incarnation = 0;
+  std::uint64_t order_count = 0;  ///< Orders that it has begun.
+  bool busy = false;              ///< An order is being carried out.
+  LayerRange layers;
+};
+
+/// Orders to engines.
+class EngineControl {
+ public:
+  virtual ~EngineControl() = default;
+  /// Orders an engine to hold `layers` in place of what it holds, if it has
+  /// begun `order_count` orders since its start. Requests that pass through
+  /// layers that it gives up are finished first. Without an answer the order
+  /// may be carried out later: kUnknownEffect.
+  virtual Task<Result<OrderOutcome>> Hold(ServerRecord engine,
+                                          LayerRange layers,
+                                          std::uint64_t order_count) = 0;
+  virtual Task<Result<EngineState>> Ask(ServerRecord engine) = 0;
+};
+
+}  // namespace qp::relay
--- /dev/null
+++ b/packages/relay/src/relay/entry_registry.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <string>
+
+#include "relay/load_exchange.h"
+#include "relay/relay.h"
+#include "storage/table.h"
+
+namespace qp::relay {
+
+/// Counts the processes of the deployment: each has an item in the table.
+/// Shared bounds are divided by the count, so an item that a dead process left
+/// makes them tighter and never looser.
+class EntryRegistry {
+ public:
+  /// Time between two counts. A new process takes its part of the shared
+  /// bounds at once and the others give theirs up within this time.
+  static constexpr Duration kInterval = std::chrono::seconds(5);
+  static constexpr Duration kRetry = std::chrono::milliseconds(500);
+
+  /// Time between the first counts, while a deployment starts.
+  static constexpr Duration kFirstInterval = std::chrono::seconds(1);
+  static constexpr int kFirstCounts = 4;
+
+  EntryRegistry(Relay& relay, Clock& clock, Table& table,
+                LoadExchange& exchange, std::string node, std::string address);
+
+  /// Registers, then counts until the process ends.
+  Task<void> Run();
+  /// Removes the item of this process.
+  Task<void> Leave();
+
+ private:
+  Task<bool> Count();
+
+  Relay& relay;
+  Clock& clock;
+  Table& table;
+  LoadExchange& exchange;
+  std::string node;
+  std::string address;  ///< For load reports.
+};
+
+}  // namespace qp::relay
--- /dev/null
+++ b/packages/relay/src/relay/event_splitter.cc
@@ -0,0 +1,70 @@
+#include "relay/event_splitter.h"
+
+#include <charconv>
+
+namespace qp::relay {
+
+namespace {
+
+/// Value of the event's line "id: N".
+std::optional<std::uint64_t> IdOf(std::string_view event) {
+  while (!event.empty()) {
+    const auto end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    event = end == std::string_view::npos ? std::string_view{}
+                                          : event.substr(end + 1);
+    if (line.substr(0, 3) != "id:") {
+      continue;
+    }
+    line.remove_prefix(3);
+    while (!line.empty() && line.front() == ' ') {
+      line.remove_prefix(1);
+    }
+    std::uint64_t id = 0;
+    const auto result =
+        std::from_chars(line.data(), line.data() + line.size(), id);
+    return result.ec == std::errc{} ? std::optional(id) : std::nullopt;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+void EventSplitter::Append(std::string_view bytes) {
+  if (this->begin > 0) {
+    this->buffer.erase(0, this->begin);
+    this->scanned -= this->begin;
+    this->begin = 0;
+  }
+  this->buffer.append(bytes);
+}
+
+std::optional<StreamEvent> EventSplitter::Next() {
+  while (true) {
+    const auto line_end = this->buffer.find('\n', this->scanned);
+    if (line_end == std::string::npos) {
+      return std::nullopt;
+    }
+    const std::string_view line = std::string_view(this->buffer)
+                                      .substr(this->scanned,
+                                              line_end - this->scanned);
+    this->scanned = line_end + 1;
+    if (!line.empty() && line != "\r") {
+      continue;
+    }
+    StreamEvent event;
+    event.bytes = std::string_view(this->buffer)
+                      .substr(this->begin, this->scanned - this->begin);
+    event.id = IdOf(event.bytes);
+    this->begin = this->scanned;
+    return event;
+  }
+}
+
+void EventSplitter::Reset() {
+  this->buffer.clear();
+  this->begin = 0;
+  this->scanned = 0;
+}
+
+}  // namespace qp::relay
--- /dev/null
+++ b/packages/relay/src/relay/limited_event_sink.cc
@@ -0,0 +1,50 @@
+#include "relay/limited_event_sink.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace qp::relay {
+
+namespace {
+
+bool ConcernsOneRequest(EventId id) {
+  return id == EventId::kRelayRequestFinished ||
+         id == EventId::kRelayAttemptFailed || id == EventId::kServerSuspected;
+}
+
+}  // namespace
+
+LimitedEventSink::LimitedEventSink(EventSink& target, const Clock& time)
+    : inner(target), clock(time), refilled_at(time.Now()) {}
+
+void LimitedEventSink::Record(EventId id, std::vector<EventField> fields) {
+  if (ConcernsOneRequest(id) && !this->TakeToken()) {
+    ++this->suppressed;
+    return;
+  }
+  this->inner.Record(id, std::move(fields));
+}
+
+void LimitedEventSink::ReportSuppressed() {
+  const auto count = std::exchange(this->suppressed, 0);
+  if (count > 0) {
+    this->inner.Record(EventId::kLogLinesSuppressed,
+                       {{"lines", std::to_string(count)}});
+  }
+}
+
+bool LimitedEventSink::TakeToken() {
+  const TimePoint now = this->clock.Now();
+  const double elapsed =
+      std::chrono::duration<double>(now - this->refilled_at).count();
+  this->refilled_at = now;
+  this->tokens = std::min(kBurst, this->tokens + elapsed * kLinesPerSecond);
+  if (this->tokens < 1) {
+    return false;
+  }
+  this->tokens -= 1;
+  return true;
+}
+
+}  // namespace qp::relay
--- /dev/null
+++ b/packages/relay/src/relay/load_exchange.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "foundation/asio.h"
+#include "foundation/clock.h"
+#include "foundation/error.h"
+#include "relay/relay.h"
+
+namespace qp::relay {
+
+/// Load that one process puts on one backend server.
+struct ServerLoad {
+  std::string server;
+  std::uint32_t streams = 0;
+  double kv_token_layers = 0;
+
+  bool operator==(const ServerLoad&) const = default;
+};
+
+/// What one process tells the others.
+struct LoadReport {
+  std::string node;
+  std::string availability_zone;
+  std::int64_t incarnation = 0;  ///< Grows with each start of the node.
+  std::uint64_t number = 0;      ///< Grows with each report of an incarnation.
+  std::vector<ServerLoad> loads;
+
+  bool operator==(const LoadReport&) const = default;
+};
+
+std::string EncodeLoadReport(const LoadReport& report);
+/// kProtocol if the bytes are no report.
+Result<LoadReport> DecodeLoadReport(std::string_view bytes);
+
+/// Latest report of each peer, added up by server.
+class PeerLoads {
+ public:
+  /// Age at which a report no longer counts: its requests have mostly ended,
+  /// and a peer that is gone must not take up room for longer.
+  static constexpr Duration kMaxAge = std::chrono::milliseconds(1500);
+
+  /// Ignores reports older than the one known of the node.
+  void Put(LoadReport report, TimePoint now);
+  void Expire(TimePoint now);
+  /// Writes the sums into the servers of the directory.
+  void Apply(ServerDirectory& servers) const;
+  std::size_t size() const { return this->reports.size(); }
+
+ private:
+  struct Entry {
+    LoadReport report;
+    TimePoint received{};
+  };
+  std::map<std::string, Entry, std::less<>> reports;
+};
+
+/// Tells the processes of a deployment one another's load on the backend
+/// servers, by datagrams: a lost one is replaced by the next.
+///
+/// Peers of the same zone are told often, as they use the same engines; peers
+/// of other zones seldom, and not at all in large deployments.
+class LoadExchange {
+ public:
+  /// Time between two reports to a peer of the zone. Some two requests per
+  /// process come in that time at the sizes of today.
+  static constexpr Duration kInterval = std::chrono::milliseconds(150);
+  /// Peers in the zone from which on reports are sent less often, so that a
+  /// process gets no more than some fifty a second.
+  static constexpr std::size_t kFullRatePeers = 7;
+  /// Reports in the zone for each one to other zones.
+  static constexpr std::uint64_t kOtherZoneEvery = 3;
+  /// Processes from which on other zones are told nothing.
+  static constexpr std::size_t kMaxForOtherZones = 24;
+
+  LoadExchange(Relay& relay, Clock& clock, std::string node);
+
+  Result<void> Listen(std::string_view address);
+  /// `zone_by_address` names all processes, this one included.
+  void SetPeers(std::map<std::string, std::string> zone_by_address);
+  /// Sends reports until the process ends.
+  Task<void> Run();
+
+ private:
+  void Receive();
+  LoadReport MakeReport();
+  void SendReports();
+
+  Relay& relay;
+  Clock& clock;
+  std::string node;
+  std::string own_address;
+  std::int64_t incarnation;
+  asio::ip::udp::socket socket;
+  asio::ip::udp::endpoint sender;
+  std::array<char, 16384> buffer;
+  std::map<std::string, std::string> peers;
+  std::uint64_t number = 0;
+  PeerLoads loads;
+};
+
+}  // namespace qp::relay
--- /dev/null
+++ b/packages/relay/src/relay/retry_allowance.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "foundation/clock.h"
+
+namespace qp::relay {
+
+/// Bounds the arrivals at a service beyond the first of each request, over a
+/// sliding window. The fixed part of the bound is shared among all processes
+/// in equal parts, so that together they keep it without talking.
+class RetryAllowance {
+ public:
+  struct Bound {
+    double ratio = 0.2;  ///< Of the requests in the window.
+    double extra = 0;    ///< Besides, for all processes together.
+    Duration window = std::chrono::seconds(10);
+  };
+
+  explicit RetryAllowance(Bound bound) : limit(bound) {}
+
+  void SetBound(Bound bound) { this->limit = bound; }
+  /// Processes that share the fixed part.
+  void SetProcesses(std::size_t count) { this->processes = count; }
+
+  void NoteRequest(std::string_view service, TimePoint now);
+  /// Counts one more arrival if the bound allows it.
+  bool TryTake(std::string_view service, TimePoint now);
+
+ private:
+  /// The window moves on in steps of a fifth of its length; one step more is
+  /// kept, so that any span of its length lies inside of what is counted.
+  static constexpr std::size_t kSteps = 6;
+  /// Part of the bound that is used: requests are counted where they are
+  /// sent, the bound where they arrive.
+  static constexpr double kUse = 0.8;
+
+  struct Usage {
+    std::array<double, kSteps> requests{};
+    std::array<double, kSteps> repeats{};
+    std::int64_t step = 0;  ///< Number of the newest step.
+  };
+
+  Usage& Advance(std::string_view service, TimePoint now);
+
+  Bound limit;
+  std::size_t processes = 1;
+  std::map<std::string, Usage, std::less<>> usage;
+};
+
+}  // namespace qp::relay
--- /dev/null
+++ b/packages/relay/src/relay/server.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "foundation/clock.h"
+#include "relay/deployment.h"
+
+namespace qp::relay {
+
+/// A backend server together with what this process has seen of it.
+struct Server {
+  ServerRecord record;
+
+  /// The store no longer lists it; null while it does.
+  std::optional<TimePoint> removed_at;
+
+  // Load that this process puts on it.
+  std::uint32_t in_flight = 0;
+  /// Tokens of the requests in flight, times the layers that each uses here.
+  double kv_token_layers = 0;
+  // The same of all other processes, as they last reported it.
+  std::uint32_t peer_streams = 0;
+  double peer_kv_token_layers = 0;
+
+  // Load that its answers report, for all callers.
+  std::uint32_t reported_busy = 0;
+  TimePoint reported_at{};
+
+  // Failures.
+  TimePoint last_progress{};   ///< Last answer or event that came through it.
+  TimePoint suspect_until{};   ///< Gets no requests before, if others can.
+  int failures_in_row = 0;
+  double failure_rate = 0;     ///< Moving average over answers, 0 to 1.
+  double latency_ms = 0;       ///< Moving average of whole answers; 0: unknown.
+
+  bool IsUsable() const {
+    return !this->record.draining && !this->removed_at.has_value();
+  }
+  bool IsSuspect(TimePoint now) const { return now < this->suspect_until; }
+
+  void NoteProgress(TimePoint now);
+  void NoteAnswer(TimePoint now, Duration latency, bool good);
+  /// Keeps requests away for a time that doubles with each failure in a row.
+  void NoteFailure(TimePoint now);
+};
+
+using ServerPtr = std::shared_ptr<Server>;
+
+}  // namespace qp::relay
--- /dev/null
+++ b/packages/relay/src/relay/server_choice.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "relay/deployment.h"
+#include "relay/server.h"
+
+namespace qp::relay {
+
+/// One engine of a chain and the layers that it runs for the request.
+struct ChainStage {
+  ServerPtr server;
+  LayerRange layers;
+};
+
+/// Engines that together run each layer once, in order.
+struct Chain {
+  std::vector<ChainStage> stages;
+  double step_ms = 0;  ///< Predicted time of one token.
+};
+
+/// What a choice is made for.
+struct ChoiceQuery {
+  std::string_view availability_zone;     ///< Of this process.
+  std::span<const std::string> excluded;  ///< Servers that failed the request.
+  double prompt_tokens = 0;
+  double output_tokens = 0;
+};
+
+/// Chooses the chain with the least predicted time for a token, inside of one
+/// availability zone where that is possible, since the pipes between zones are
+/// narrow. An engine without memory for the request is passed over.
+///
+/// Answers the load of a busy hour with single engines lost: suspected
+/// engines are used only where the model can't be covered without them.
+/// Empty if no chain covers the model or none has memory left.
+std::optional<Chain> ChooseChain(const EngineProfile& profile,
+                                 std::span<const ServerPtr> engines,
+                                 const ChoiceQuery& query, TimePoint now,
+                                 std::mt19937_64& random);
+
+/// Chooses a server of a plain service by load, past failures and zone. Null
+/// if none is usable.
+ServerPtr ChooseServer(std::span<const ServerPtr> servers,
+                       const ChoiceQuery& query, TimePoint now,
+                       std::mt19937_64& random);
+
+}  // namespace qp::relay
--- /dev/null
+++ b/packages/relay/src/relay/server_directory.cc
@@ -0,0 +1,103 @@
+#include "relay/server_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace qp::relay {
+
+void ServerDirectory::Put(ServerRecord record, TimePoint now) {
+  this->lapsing.erase(record.id);
+  const auto found = this->by_id.find(record.id);
+  if (found != this->by_id.end()) {
+    ServerRecord& known = found->second->record;
+    if (known.incarnation == record.incarnation &&
+        known.service == record.service && known.address == record.address) {
+      known = std::move(record);
+      return;
+    }
+    this->Unlist(found->second);
+  }
+  auto server = std::make_shared<Server>();
+  server->record = std::move(record);
+  server->last_progress = now;
+  this->by_service[server->record.service].push_back(server);
+  this->by_id.insert_or_assign(server->record.id, server);
+}
+
+void ServerDirectory::Remove(std::string_view id, TimePoint now,
+                             TimePoint keep_until) {
+  const auto found = this->by_id.find(id);
+  if (found == this->by_id.end()) {
+    return;
+  }
+  if (keep_until > now) {
+    this->lapsing.emplace(std::string(id), keep_until);
+    return;
+  }
+  found->second->removed_at = now;
+  this->Unlist(found->second);
+  this->lapsing.erase(std::string(id));
+}
+
+void ServerDirectory::Expire(TimePoint now) {
+  for (auto entry = this->lapsing.begin(); entry != this->lapsing.end();) {
+    if (entry->second > now) {
+      ++entry;
+      continue;
+    }
+    const std::string id = entry->first;
+    entry = this->lapsing.erase(entry);
+    this->Remove(id, now, now);
+  }
+}
+
+std::span<const ServerPtr> ServerDirectory::Of(std::string_view service) const {
+  const auto found = this->by_service.find(service);
+  return found == this->by_service.end() ? std::span<const ServerPtr>{}
+                                         : std::span(found->second);
+}
+
+ServerPtr ServerDirectory::Find(std::string_view id) const {
+  const auto found = this->by_id.find(id);
+  return found == this->by_id.end() ? nullptr : found->second;
+}
+
+ServerPtr ServerDirectory::FindByAddress(std::string_view address) const {
+  for (const auto& [id, server] : this->by_id) {
+    if (server->record.address == address) {
+      return server;
+    }
+  }
+  return nullptr;
+}
+
+void ServerDirectory::ForEach(
+    const std::function<void(const Server&)>& visit) const {
+  for (const auto& [id, server] : this->by_id) {
+    visit(*server);
+  }
+}
+
+void ServerDirectory::ClearPeerLoads() {
+  for (const auto& [id, server] : this->by_id) {
+    server->peer_streams = 0;
+    server->peer_kv_token_layers = 0;
+  }
+}
+
+std::vector<std::string> ServerDirectory::Ids() const {
+  std::vector<std::string> ids;
+  for (const auto& [id, server] : this->by_id) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+void ServerDirectory::Unlist(const ServerPtr& server) {
+  const ServerPtr kept = server;
+  auto& listed = this->by_service[kept->record.service];
+  std::erase(listed, kept);
+  this->by_id.erase(kept->record.id);
+}
+
+}  // namespace qp::relay
--- /dev/null
+++ b/packages/relay/src/relay/upstream_call.cc
@@ -0,0 +1,220 @@
+#include "relay/upstream_call.h"
+
+#include <boost/beast/http.hpp>
+#include <utility>
+
+#include "http/endpoint.h"
+
+namespace qp::relay {
+
+namespace beast = boost::beast;
+
+namespace {
+
+/// Largest head of an answer; servers answer with a dozen short headers.
+constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
+
+bool IsSuccess(unsigned status) { return status >= 200 && status < 300; }
+
+}  // namespace
+
+UpstreamCall::UpstreamCall(asio::io_context& context, TimerQueue& queue,
+                           UpstreamPool& connections, const Protocol& wire,
+                           ServerPtr target, CallListener& receiver)
+    : io(context),
+      pool(connections),
+      protocol(wire),
+      server(std::move(target)),
+      listener(&receiver),
+      connect_timer(queue),
+      timers(queue) {}
+
+void UpstreamCall::Start(std::string id, std::string bytes, bool fresh,
+                         bool is_head_request) {
+  this->attempt_id = std::move(id);
+  this->request = std::move(bytes);
+  this->head_request = is_head_request;
+  if (!fresh) {
+    this->channel = this->pool.Take(*this->server);
+  }
+  if (this->channel != nullptr) {
+    this->reused = true;
+    this->Send();
+    return;
+  }
+  this->Connect();
+}
+
+void UpstreamCall::Connect() {
+  const auto endpoint = http::ParseEndpoint(this->server->record.address);
+  if (!endpoint) {
+    asio::post(this->io, [self = this->shared_from_this()] {
+      self->Fail(ErrorCode::kInvalidArgument, "the address cannot be read");
+    });
+    return;
+  }
+  this->channel = std::make_shared<Channel>(Channel::Socket(this->io));
+  this->connect_timer.Start(
+      this->timers.Now() + kConnectBound,
+      [weak = this->weak_from_this()] {
+        if (auto self = weak.lock()) {
+          self->Fail(ErrorCode::kTimeout, "no connection in time");
+        }
+      });
+  this->channel->Connect(
+      endpoint.value(),
+      [self = this->shared_from_this()](boost::system::error_code failure) {
+        self->connect_timer.Cancel();
+        if (failure) {
+          self->Fail(ErrorCode::kUnavailable, failure.message());
+          return;
+        }
+        self->Send();
+      });
+}
+
+void UpstreamCall::Send() {
+  this->sent = true;
+  this->NewParser();
+  this->channel->Write(this->request);
+  this->request.clear();
+  this->request.shrink_to_fit();
+  this->channel->ReadTo(this);
+}
+
+void UpstreamCall::NewParser() {
+  this->parser.emplace();
+  this->parser->eager(true);
+  this->parser->header_limit(kMaxHeadBytes);
+  this->parser->body_limit(boost::none);
+  this->parser->skip(this->head_request);
+  this->head_handled = false;
+  this->foreign = false;
+}
+
+void UpstreamCall::Cancel() {
+  this->listener = nullptr;
+  this->connect_timer.Cancel();
+  if (this->channel != nullptr) {
+    this->channel->Close();
+  }
+}
+
+void UpstreamCall::OnBytes(std::string_view bytes) {
+  const auto self = this->shared_from_this();
+  this->answer_begun = true;
+  this->input.append(bytes);
+  while (!this->input.empty() && this->Parse()) {
+  }
+}
+
+bool UpstreamCall::Parse() {
+  boost::system::error_code failure;
+  const std::size_t used = this->parser->put(
+      asio::buffer(this->input.data(), this->input.size()), failure);
+  this->input.erase(0, used);
+  if (failure && failure != beast::http::error::need_more) {
+    this->Fail(ErrorCode::kProtocol, failure.message());
+    return false;
+  }
+  if (this->parser->is_header_done()) {
+    if (!this->head_handled) {
+      this->HandleHead();
+    }
+    this->HandleBody();
+  }
+  if (this->listener == nullptr) {
+    return false;
+  }
+  if (this->parser->is_done()) {
+    return this->HandleDone();
+  }
+  return used > 0 && !failure;
+}
+
+void UpstreamCall::HandleHead() {
+  this->head_handled = true;
+  ResponseHead head;
+  head.status = this->parser->get().result_int();
+  head.facts = this->protocol.ReadResponse(this->parser->get().base());
+  const std::string& answered = head.facts.attempt_id;
+  this->foreign = answered.empty() ? IsSuccess(head.status)
+                                   : answered != this->attempt_id;
+  if (this->foreign) {
+    return;
+  }
+  this->keep_alive = head.facts.keep_alive;
+  head.headers = this->parser->get().base();
+  this->listener->OnResponse(std::move(head));
+}
+
+void UpstreamCall::HandleBody() {
+  std::string body = std::exchange(this->parser->get().body(), {});
+  if (!body.empty() && !this->foreign && this->listener != nullptr) {
+    this->listener->OnBody(body);
+  }
+}
+
+bool UpstreamCall::HandleDone() {
+  if (!this->foreign) {
+    this->Complete();
+    return false;
+  }
+  if (!this->parser->keep_alive()) {
+    this->Fail(ErrorCode::kProtocol, "only an answer to another request came");
+    return false;
+  }
+  this->NewParser();
+  return true;
+}
+
+void UpstreamCall::Complete() {
+  CallListener* receiver = std::exchange(this->listener, nullptr);
+  const bool clean = this->parser->keep_alive() && this->input.empty() &&
+                     this->channel->unsent() == 0 && this->channel->is_open();
+  if (clean) {
+    this->pool.Put(*this->server, std::exchange(this->channel, nullptr),
+                   this->keep_alive);
+  } else {
+    this->channel->Close();
+  }
+  receiver->OnComplete();
+}
+
+void UpstreamCall::OnEnd(const boost::system::error_code& failure) {
+  const auto self = this->shared_from_this();
+  if (!failure && this->parser && this->head_handled && !this->foreign &&
+      this->parser->need_eof()) {
+    boost::system::error_code result;
+    this->parser->put_eof(result);
+    if (!result) {
+      this->HandleBody();
+      if (this->listener != nullptr) {
+        this->Complete();
+      }
+      return;
+    }
+  }
+  this->Fail(ErrorCode::kUnavailable,
+             failure ? failure.message() : "closed before the answer's end");
+}
+
+void UpstreamCall::Fail(ErrorCode code, std::string detail) {
+  const auto self = this->shared_from_this();
+  this->connect_timer.Cancel();
+  if (this->channel != nullptr) {
+    this->channel->Close();
+  }
+  CallListener* receiver = std::exchange(this->listener, nullptr);
+  if (receiver == nullptr) {
+    return;
+  }
+  CallFailure failure;
+  failure.may_have_run = this->sent;
+  failure.was_reused = this->reused && !this->answer_begun;
+  failure.error = {code, this->sent ? "upstream.answer" : "upstream.connect",
+                   this->server->record.address, std::move(detail)};
+  receiver->OnFailure(std::move(failure));
+}
+
+}  // namespace qp::relay
--- a/packages/platform/src/platform/configuration_store.cc
+++ b/packages/storage/src/storage/configuration_store.cc
@@ -1,4 +1,4 @@
-#include "platform/configuration_store.h"
+#include "storage/configuration_store.h"
 
 #include <algorithm>
 #include <charconv>
@@ -6,7 +6,7 @@
 
 #include "config/configuration_json.h"
 #include "foundation/wait.h"
-#include "platform/table.h"
+#include "storage/table.h"
 
 namespace qp {
 
--- a/packages/platform/src/platform/grouped_table.cc
+++ b/packages/storage/src/storage/grouped_table.cc
@@ -1,4 +1,4 @@
-#include "platform/grouped_table.h"
+#include "storage/grouped_table.h"
 
 #include <algorithm>
 #include <iterator>
--- a/packages/platform/src/platform/grouped_table.h
+++ b/packages/storage/src/storage/grouped_table.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "foundation/clock.h"
-#include "platform/table.h"
+#include "storage/table.h"
 
 namespace qp {
 
--- a/packages/platform/src/platform/http_table.cc
+++ b/packages/storage/src/storage/http_table.cc
@@ -1,4 +1,4 @@
-#include "platform/http_table.h"
+#include "storage/http_table.h"
 
 #include "http/client.h"
 
--- a/packages/platform/src/platform/http_table.h
+++ b/packages/storage/src/storage/http_table.h
@@ -3,7 +3,7 @@
 #include <string>
 
 #include "foundation/clock.h"
-#include "platform/table.h"
+#include "storage/table.h"
 
 namespace qp::http {
 class Client;
--- a/packages/platform/src/platform/http_vm_list.cc
+++ b/packages/storage/src/storage/http_vm_list.cc
@@ -1,4 +1,4 @@
-#include "platform/http_vm_list.h"
+#include "storage/http_vm_list.h"
 
 #include <nlohmann/json.hpp>
 #include <optional>
--- a/packages/platform/src/platform/http_vm_list.h
+++ b/packages/storage/src/storage/http_vm_list.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foundation/clock.h"
-#include "platform/vm_list.h"
+#include "storage/vm_list.h"
 
 namespace qp::http {
 class Client;
--- a/packages/platform/src/platform/lease.cc
+++ b/packages/storage/src/storage/lease.cc
@@ -1,9 +1,9 @@
-#include "platform/lease.h"
+#include "storage/lease.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "platform/table.h"
+#include "storage/table.h"
 
 namespace qp {
 
@@ -16,12 +16,13 @@
 }  // namespace
 
 Lease::Lease(Table& service, Clock& time, EventSink& sink, std::string item_key,
-             std::string holder_name)
+             std::string holder_name, LeaseTerms lease_terms)
     : table(service),
       clock(time),
       events(sink),
       key(std::move(item_key)),
-      holder(std::move(holder_name)) {}
+      holder(std::move(holder_name)),
+      terms(lease_terms) {}
 
 Task<void> Lease::Tick() {
   const auto item = co_await this->table.Read(this->key);
@@ -30,7 +31,7 @@
     co_return;
   }
   if (!item.value()) {
-    co_await this->Write(1, std::nullopt, kTerm);
+    co_await this->Write(1, std::nullopt, this->terms.term);
     co_return;
   }
   const TableItem& current = *item.value();
@@ -38,13 +39,13 @@
       current.value.value("fence", std::uint64_t{0});
   const std::string current_holder = current.value.value("holder", "");
   if (current_holder == this->holder) {
-    co_await this->Write(current_fence, current.version, kTerm);
+    co_await this->Write(current_fence, current.version, this->terms.term);
     co_return;
   }
   this->NoteExpiry();
   this->Observe(current);
   if (current_holder.empty() || this->FormerHolderHasStopped()) {
-    co_await this->Write(current_fence + 1, current.version, kTerm);
+    co_await this->Write(current_fence + 1, current.version, this->terms.term);
   }
 }
 
@@ -89,7 +90,7 @@
 }
 
 bool Lease::FormerHolderHasStopped() const {
-  return this->clock.Now() - this->seen_since >= kTerm + kMargin;
+  return this->clock.Now() - this->seen_since >= this->terms.term + this->terms.margin;
 }
 
 void Lease::NoteExpiry() {
@@ -119,7 +120,7 @@
   if (this->fence == 0) {
     return Duration{0};
   }
-  return std::max(Duration{0}, this->held_until - kMargin - this->clock.Now());
+  return std::max(Duration{0}, this->held_until - this->terms.margin - this->clock.Now());
 }
 
 }  // namespace qp
--- a/packages/platform/src/platform/lease.h
+++ b/packages/storage/src/storage/lease.h
@@ -14,6 +14,13 @@
 class Table;
 struct TableItem;
 
+/// How long a lease is held and how safely it is passed on.
+struct LeaseTerms {
+  Duration term = std::chrono::seconds(10);
+  /// Covers the drift of clock rates and the flight of the last order.
+  Duration margin = std::chrono::seconds(2);
+};
+
 /// A lease in the table, with a fencing number that grows with each holder.
 ///
 /// Needs no common clock: a holder counts its term from before its write was
@@ -22,16 +29,15 @@
 /// rate, a former holder has stopped by then, also if it was paused.
 class Lease {
  public:
-  static constexpr Duration kTerm = std::chrono::seconds(10);
-  /// Covers the drift of clock rates and the flight of the last order.
-  static constexpr Duration kMargin = std::chrono::seconds(2);
-  /// Time between two calls of Tick; three renewals fit into a term.
+  static constexpr Duration kTerm = LeaseTerms{}.term;
+  static constexpr Duration kMargin = LeaseTerms{}.margin;
+  /// Time between two calls of Tick; three renewals fit into a default term.
   static constexpr Duration kTickInterval = std::chrono::seconds(3);
 
   /// `holder` must differ between processes, also between two starts of one
   /// daemon.
   Lease(Table& table, Clock& clock, EventSink& events, std::string key,
-        std::string holder);
+        std::string holder, LeaseTerms terms = {});
 
   /// Renews the lease, or takes it if it is free.
   Task<void> Tick();
@@ -60,6 +66,7 @@
   EventSink& events;
   std::string key;
   std::string holder;
+  LeaseTerms terms;
   std::uint64_t fence = 0;  ///< 0: not held.
   TimePoint held_until{};
   std::uint64_t seen_version = 0;
--- a/packages/platform/src/platform/monitored_table.cc
+++ b/packages/storage/src/storage/monitored_table.cc
@@ -1,4 +1,4 @@
-#include "platform/monitored_table.h"
+#include "storage/monitored_table.h"
 
 namespace qp {
 
--- a/packages/platform/src/platform/monitored_table.h
+++ b/packages/storage/src/storage/monitored_table.h
@@ -2,7 +2,7 @@
 
 #include "foundation/clock.h"
 #include "foundation/event.h"
-#include "platform/table.h"
+#include "storage/table.h"
 
 namespace qp {
 
--- a/packages/platform/src/platform/usage_day.cc
+++ b/packages/storage/src/storage/usage_day.cc
@@ -1,4 +1,4 @@
-#include "platform/usage_day.h"
+#include "storage/usage_day.h"
 
 #include <chrono>
 #include <cstdio>
--- a/packages/platform/src/platform/usage_store.cc
+++ b/packages/storage/src/storage/usage_store.cc
@@ -1,8 +1,8 @@
-#include "platform/usage_store.h"
+#include "storage/usage_store.h"
 
 #include <utility>
 
-#include "platform/table.h"
+#include "storage/table.h"
 
 namespace qp {
 
--- a/packages/platform/src/platform/usage_store.h
+++ b/packages/storage/src/storage/usage_store.h
@@ -8,7 +8,7 @@
 #include "foundation/asio.h"
 #include "foundation/clock.h"
 #include "foundation/error.h"
-#include "platform/usage_day.h"
+#include "storage/usage_day.h"
 
 namespace qp {
 
--- a/packages/platform/tests/platform/configuration_store_test.cc
+++ b/packages/storage/tests/storage/configuration_store_test.cc
@@ -1,8 +1,8 @@
-#include "platform/configuration_store.h"
+#include "storage/configuration_store.h"
 
 #include <catch2/catch.hpp>
 
-#include "platform/memory_table.h"
+#include "storage/memory_table.h"
 #include "testing/test_runtime.h"
 
 using namespace std::chrono_literals;
--- a/packages/platform/tests/platform/lease_test.cc
+++ b/packages/storage/tests/storage/lease_test.cc
@@ -1,4 +1,4 @@
-#include "platform/lease.h"
+#include "storage/lease.h"
 
 #include <rapidcheck/catch.h>
 
@@ -6,7 +6,7 @@
 #include <map>
 #include <vector>
 
-#include "platform/memory_table.h"
+#include "storage/memory_table.h"
 #include "testing/test_runtime.h"
 
 using namespace std::chrono_literals;
--- a/packages/platform/tests/platform/memory_table.h
+++ b/packages/storage/tests/storage/memory_table.h
@@ -2,7 +2,7 @@
 
 #include <map>
 
-#include "platform/table.h"
+#include "storage/table.h"
 
 namespace qp::testing {
 
--- a/packages/platform/tests/platform/usage_store_test.cc
+++ b/packages/storage/tests/storage/usage_store_test.cc
@@ -1,8 +1,8 @@
-#include "platform/usage_store.h"
+#include "storage/usage_store.h"
 
 #include <catch2/catch.hpp>
 
-#include "platform/memory_table.h"
+#include "storage/memory_table.h"
 #include "testing/test_runtime.h"
 
 using namespace std::chrono_literals;
