--- a/packages/relay/src/relay/caller_listener.cc
+++ b/packages/relay/src/relay/caller_listener.cc
@@ -48,8 +48,8 @@
                               [this] { this->Accept(); });
       return;
     }
-    auto session = std::make_shared<CallerSession>(this->relay,
-                                                   std::move(socket), *this);
+    auto session =
+        std::make_shared<CallerSession>(this->relay, std::move(socket), *this);
     this->open.emplace(session.get(), session);
     session->Start();
     this->Accept();
--- a/packages/relay/src/relay/caller_listener.h
+++ b/packages/relay/src/relay/caller_listener.h
@@ -16,7 +16,9 @@
  public:
   explicit CallerListener(Relay& relay);
 
+  /// The system chooses the port if `address` names port 0.
   Result<void> Listen(std::string_view address);
+  std::uint16_t port() const { return this->acceptor.local_endpoint().port(); }
   /// Takes no new connections.
   void StopAccepting();
   /// Closes connections on which no request is under way.
--- a/packages/relay/src/relay/caller_session.cc
+++ b/packages/relay/src/relay/caller_session.cc
@@ -162,9 +162,9 @@
   const auto self = this->shared_from_this();
   this->relay.metrics.Count("quetzalpost_requests_total",
                             std::to_string(status));
-  this->relay.events.Record(EventId::kRelayRequestFinished,
-                            {{"outcome", std::to_string(status)},
-                             {"why", std::string(why)}});
+  this->relay.events.Record(
+      EventId::kRelayRequestFinished,
+      {{"outcome", std::to_string(status)}, {"why", std::string(why)}});
   this->channel->Write(WriteOwnAnswer({status, why, std::nullopt}, false));
   this->closed = true;
   this->read_timer.Cancel();
--- a/packages/relay/src/relay/channel.cc
+++ b/packages/relay/src/relay/channel.cc
@@ -49,13 +49,13 @@
     return;
   }
   Configure(this->socket);
-  this->socket.async_connect(
-      peer, [self = this->shared_from_this(),
-             done = std::move(callback)](error_code result) {
-        if (!self->closed) {
-          done(result);
-        }
-      });
+  this->socket.async_connect(peer,
+                             [self = this->shared_from_this(),
+                              done = std::move(callback)](error_code result) {
+                               if (!self->closed) {
+                                 done(result);
+                               }
+                             });
 }
 
 void Channel::ReadTo(ChannelReader* reader) {
@@ -73,11 +73,12 @@
     return;
   }
   this->reading = true;
-  this->socket.async_wait(tcp::socket::wait_read,
-                          [self = this->shared_from_this()](error_code failure) {
-                            self->reading = false;
-                            self->ReadReady(failure);
-                          });
+  this->socket.async_wait(
+      tcp::socket::wait_read,
+      [self = this->shared_from_this()](error_code failure) {
+        self->reading = false;
+        self->ReadReady(failure);
+      });
 }
 
 void Channel::ReadReady(const error_code& failure) {
@@ -120,8 +121,8 @@
     return;
   }
   error_code failure;
-  const std::size_t count =
-      this->socket.write_some(asio::buffer(bytes.data(), bytes.size()), failure);
+  const std::size_t count = this->socket.write_some(
+      asio::buffer(bytes.data(), bytes.size()), failure);
   this->total_written += count;
   if (failure && failure != asio::error::would_block) {
     // The reader learns of it from its next read.
@@ -139,13 +140,14 @@
     return;
   }
   this->writing = true;
-  this->socket.async_wait(tcp::socket::wait_write,
-                          [self = this->shared_from_this()](error_code failure) {
-                            self->writing = false;
-                            if (!failure && self->is_open()) {
-                              self->Flush();
-                            }
-                          });
+  this->socket.async_wait(
+      tcp::socket::wait_write,
+      [self = this->shared_from_this()](error_code failure) {
+        self->writing = false;
+        if (!failure && self->is_open()) {
+          self->Flush();
+        }
+      });
 }
 
 void Channel::Flush() {
--- a/packages/relay/src/relay/deployment.h
+++ b/packages/relay/src/relay/deployment.h
@@ -97,7 +97,9 @@
   std::uint32_t end = 0;
 
   bool empty() const { return this->first >= this->end; }
-  std::uint32_t size() const { return this->empty() ? 0 : this->end - this->first; }
+  std::uint32_t size() const {
+    return this->empty() ? 0 : this->end - this->first;
+  }
   bool operator==(const LayerRange&) const = default;
 };
 
@@ -112,6 +114,8 @@
   std::int64_t incarnation = 0;  ///< Wall time of its start; differs by start.
   std::string accelerator;       ///< Empty for plain services.
   LayerRange layers;
+
+  bool operator==(const ServerRecord&) const = default;
 };
 
 }  // namespace qp::relay
--- a/packages/relay/src/relay/deployment_store.h
+++ b/packages/relay/src/relay/deployment_store.h
@@ -26,6 +26,8 @@
   /// Empty if the entry was removed or names no server to use.
   std::optional<ServerRecord> record;
   bool removed = false;
+
+  bool operator==(const ServerEntry&) const = default;
 };
 
 struct ServerPage {
--- a/packages/relay/src/relay/entry_daemon.cc
+++ b/packages/relay/src/relay/entry_daemon.cc
@@ -29,8 +29,11 @@
 constexpr Duration kHousekeeping = milliseconds(1000);
 /// Terms of the lease on the engines' layers. Short, since an engine that was
 /// lost is replaced only by the holder.
-constexpr LeaseTerms kLayerLease{milliseconds(4500), milliseconds(1000)};
-constexpr Duration kLeaseTick = milliseconds(1500);
+constexpr LeaseTerms kLayerLease{milliseconds(3500), milliseconds(700)};
+constexpr Duration kLeaseTick = milliseconds(1200);
+/// Silence of the holder after which the others look at the lease. Its reports
+/// reach other zones every 450 ms.
+constexpr Duration kHolderSilence = milliseconds(1500);
 
 /// Answers the load balancer and collectors of metrics.
 class StatusHandler : public http::Handler {
@@ -60,7 +63,8 @@
 
 }  // namespace
 
-struct EntryDaemon::State : std::enable_shared_from_this<EntryDaemon::State> {
+struct EntryDaemon::State : ReportListener,
+                            std::enable_shared_from_this<EntryDaemon::State> {
   State(EntrySettings given, PlatformServices services,
         asio::io_context& context, Clock& time, EventSink& sink,
         std::uint64_t seed)
@@ -75,7 +79,7 @@
         lease(*services.table, time, events, "lease/layers",
               settings.node + "/" + std::to_string(seed), kLayerLease),
         keeper(relay, time, *services.engines, lease),
-        exchange(relay, time, settings.node),
+        exchange(relay, time, settings.node, *this),
         registry(relay, time, *services.table, exchange, settings.node,
                  settings.peer_address),
         status(relay.metrics, [this] { return this->IsReady(); }),
@@ -103,9 +107,27 @@
     asio::co_spawn(this->io, std::move(loop), asio::detached);
   }
 
+  void OnReport(const LoadReport& report) override {
+    if (report.holds_lease) {
+      this->holder_heard_at = this->clock.Now();
+    }
+    this->follower.TakeReport(report);
+  }
+
+  void Describe(LoadReport& report) override {
+    report.holds_lease = this->lease.FencingNumber().has_value();
+    this->follower.Describe(report);
+  }
+
+  /// While the holder is heard of, the others need not look at the lease.
   Task<void> HoldLease() {
     while (!this->relay.draining) {
-      co_await this->lease.Tick();
+      const bool heard =
+          this->holder_heard_at &&
+          this->clock.Now() - *this->holder_heard_at < kHolderSilence;
+      if (!heard || this->lease.FencingNumber()) {
+        co_await this->lease.Tick();
+      }
       co_await SleepFor(this->clock, kLeaseTick);
     }
   }
@@ -122,7 +144,8 @@
   Task<void> Drain() {
     const TimePoint began = this->clock.Now();
     const TimePoint end =
-        began + std::max(this->settings.grace_period - kStopMargin, kDrainCheck);
+        began +
+        std::max(this->settings.grace_period - kStopMargin, kDrainCheck);
     co_await this->lease.Resign();
     co_await this->registry.Leave();
     const TimePoint accept_until = std::min(began + kAcceptAfterStop, end);
@@ -156,6 +179,7 @@
   StatusHandler status;
   http::Server readiness;
   http::Server metrics;
+  std::optional<TimePoint> holder_heard_at;
   bool was_ready = false;
 };
 
@@ -199,9 +223,8 @@
   if (std::exchange(self.relay.draining, true)) {
     return;
   }
-  self.events.Record(
-      EventId::kDrainStarted,
-      {{"sessions", std::to_string(self.listener.sessions())}});
+  self.events.Record(EventId::kDrainStarted,
+                     {{"sessions", std::to_string(self.listener.sessions())}});
   self.NoteReadiness();
   self.Spawn(self.Drain());
 }
--- a/packages/relay/src/relay/entry_registry.cc
+++ b/packages/relay/src/relay/entry_registry.cc
@@ -84,8 +84,8 @@
 Task<void> EntryRegistry::Leave() {
   auto operations = Removal(this->node);
   // What is left behind only makes the shared bounds tighter.
-  std::ignore = co_await this->table.Transact(TransactMode::kAll,
-                                              std::move(operations));
+  std::ignore =
+      co_await this->table.Transact(TransactMode::kAll, std::move(operations));
 }
 
 }  // namespace qp::relay
--- a/packages/relay/src/relay/entry_registry.h
+++ b/packages/relay/src/relay/entry_registry.h
@@ -15,7 +15,7 @@
  public:
   /// Time between two counts. A new process takes its part of the shared
   /// bounds at once and the others give theirs up within this time.
-  static constexpr Duration kInterval = std::chrono::seconds(5);
+  static constexpr Duration kInterval = std::chrono::seconds(12);
   static constexpr Duration kRetry = std::chrono::milliseconds(500);
 
   /// Time between the first counts, while a deployment starts.
--- a/packages/relay/src/relay/entry_settings.cc
+++ b/packages/relay/src/relay/entry_settings.cc
@@ -68,7 +68,8 @@
     settings.store_address = Address(store, "address");
     settings.store_spans_parts = store.BoolOr("spans_parts", false);
   });
-  settings.grace_period = Millis(reader.Number("grace_period_ms", 0, kLongestMs));
+  settings.grace_period =
+      Millis(reader.Number("grace_period_ms", 0, kLongestMs));
   ReadRetry(reader, settings.retry);
   settings.log_level = ReadLogLevel(reader);
   reader.Finish();
--- a/packages/relay/src/relay/event_splitter.cc
+++ b/packages/relay/src/relay/event_splitter.cc
@@ -45,9 +45,9 @@
     if (line_end == std::string::npos) {
       return std::nullopt;
     }
-    const std::string_view line = std::string_view(this->buffer)
-                                      .substr(this->scanned,
-                                              line_end - this->scanned);
+    const std::string_view line =
+        std::string_view(this->buffer)
+            .substr(this->scanned, line_end - this->scanned);
     this->scanned = line_end + 1;
     if (!line.empty() && line != "\r") {
       continue;
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -114,10 +114,9 @@
     this->Refuse({503, "the route has no service", milliseconds(500)});
     return false;
   }
-  this->deadline =
-      this->arrived + std::min(this->facts.deadline.value_or(
-                                   this->route->timeout),
-                               this->route->timeout);
+  this->deadline = this->arrived +
+                   std::min(this->facts.deadline.value_or(this->route->timeout),
+                            this->route->timeout);
   this->last_event_id = this->facts.last_event_id;
   if (this->Remaining() < kLeastRemaining) {
     this->Refuse({503, "no time is left", std::nullopt});
@@ -177,8 +176,8 @@
     this->GiveUp("no server can take it");
     return;
   }
-  if (this->tries > 0 && !this->relay.allowance.TryTake(this->service->name,
-                                                        this->relay.Now())) {
+  if (this->tries > 0 &&
+      !this->relay.allowance.TryTake(this->service->name, this->relay.Now())) {
     this->GiveUp("the retry budget is used up");
     return;
   }
@@ -191,6 +190,8 @@
   query.excluded = this->excluded;
   query.prompt_tokens = this->facts.prompt_tokens;
   query.output_tokens = this->facts.output_tokens;
+  query.peers = this->relay.processes_in_zone - 1;
+  query.other_zones_known = this->relay.other_zones_known;
   const auto servers = this->relay.servers.Of(this->service->name);
   this->chain.reset();
   this->server = nullptr;
@@ -211,6 +212,7 @@
   ++this->tries;
   this->try_began = this->relay.Now();
   this->last_event_at = this->try_began;
+  this->try_has_events = false;
   this->head.reset();
   this->body.clear();
   this->splitter.Reset();
@@ -219,7 +221,10 @@
   if (this->chain) {
     for (const auto& stage : this->chain->stages) {
       ++stage.server->in_flight;
-      stage.server->kv_token_layers += tokens * stage.layers.size();
+      const double token_layers = tokens * stage.layers.size();
+      stage.server->kv_token_layers += token_layers;
+      ++stage.server->unreported_streams;
+      stage.server->unreported_kv_token_layers += token_layers;
     }
   } else {
     ++target->in_flight;
@@ -232,10 +237,9 @@
   forward.last_event_id = this->last_event_id;
   forward.chain = this->chain ? &*this->chain : nullptr;
   forward.urgency = std::clamp(this->priority + kDefaultUrgency - 1, 0, 9);
-  this->call =
-      std::make_shared<UpstreamCall>(this->relay.io, this->relay.timers,
-                                     this->relay.pool, this->relay.protocol,
-                                     target, *this);
+  this->call = std::make_shared<UpstreamCall>(
+      this->relay.io, this->relay.timers, this->relay.pool,
+      this->relay.protocol, target, *this);
   // A kept connection may be closing already, and the caller of a request
   // that must not run twice could then only be told that it may have run.
   const bool fresh = !this->MayRepeat();
@@ -258,7 +262,8 @@
 }
 
 void Exchange::OnBody(std::string_view bytes) {
-  const bool is_stream = this->route->streaming && this->head->facts.is_signed &&
+  const bool is_stream = this->route->streaming &&
+                         this->head->facts.is_signed &&
                          IsSuccess(this->head->status);
   if (!is_stream) {
     this->body.append(bytes);
@@ -271,7 +276,8 @@
 void Exchange::HandleEvents() {
   std::string chunk;
   while (auto event = this->splitter.Next()) {
-    if (event->id && this->last_event_id && *event->id <= *this->last_event_id) {
+    if (event->id && this->last_event_id &&
+        *event->id <= *this->last_event_id) {
       continue;
     }
     if (event->id) {
@@ -284,8 +290,11 @@
   }
   const TimePoint now = this->relay.Now();
   this->last_event_at = now;
-  for (const auto& stage : this->chain ? this->chain->stages
-                                       : std::vector<ChainStage>{}) {
+  if (!std::exchange(this->try_has_events, true)) {
+    this->WatchStream();
+  }
+  for (const auto& stage :
+       this->chain ? this->chain->stages : std::vector<ChainStage>{}) {
     stage.server->NoteProgress(now);
   }
   this->BeginStream();
@@ -303,7 +312,8 @@
 }
 
 void Exchange::OnComplete() {
-  const bool is_stream = this->route->streaming && this->head->facts.is_signed &&
+  const bool is_stream = this->route->streaming &&
+                         this->head->facts.is_signed &&
                          IsSuccess(this->head->status);
   if (is_stream) {
     this->CompleteStream();
@@ -334,14 +344,10 @@
     const auto& failed = this->head->facts.failed_address;
     const ServerPtr culprit =
         failed.empty() ? nullptr : this->relay.servers.FindByAddress(failed);
-    const ServerPtr target = this->server;
+    const ServerPtr refuser = culprit != nullptr ? culprit : this->server;
     this->EndTry(true);
-    if (culprit != nullptr) {
-      culprit->NoteFailure(this->relay.Now());
-      this->excluded.push_back(culprit->record.id);
-    } else {
-      this->excluded.push_back(target->record.id);
-    }
+    this->NoteRefusal(*refuser, status);
+    this->excluded.push_back(refuser->record.id);
     this->FailTry(false, "refused with " + std::to_string(status));
     return;
   }
@@ -362,6 +368,26 @@
   this->ForwardAnswer();
 }
 
+void Exchange::NoteRefusal(Server& refuser, unsigned status) {
+  if (this->chain) {
+    // It is full or gone; either takes a while to change.
+    refuser.NoteFailure(this->relay.Now());
+  }
+  this->relay.events.Record(
+      EventId::kRelayAttemptFailed,
+      {{"request", this->facts.attempt_id},
+       {"peer", refuser.record.id},
+       {"step", "upstream.refused"},
+       {"status", std::to_string(status)},
+       {"streams", std::to_string(refuser.in_flight)},
+       {"peer_streams", std::to_string(refuser.peer_streams)},
+       {"kv_token_layers",
+        std::to_string(static_cast<std::int64_t>(
+            refuser.kv_token_layers + refuser.peer_kv_token_layers))},
+       {"layers", std::to_string(refuser.record.layers.size())},
+       {"accelerator", refuser.record.accelerator}});
+}
+
 void Exchange::ForwardAnswer() {
   if (this->stream_begun) {
     this->NoteFinished("aborted", "the stream could not be resumed");
@@ -414,9 +440,8 @@
   if (this->chain) {
     for (const auto& stage : this->chain->stages) {
       stage.server->in_flight -= stage.server->in_flight > 0 ? 1 : 0;
-      stage.server->kv_token_layers =
-          std::max(0.0, stage.server->kv_token_layers -
-                            tokens * stage.layers.size());
+      stage.server->kv_token_layers = std::max(
+          0.0, stage.server->kv_token_layers - tokens * stage.layers.size());
     }
   } else if (this->server != nullptr) {
     this->server->in_flight -= this->server->in_flight > 0 ? 1 : 0;
@@ -455,18 +480,18 @@
 }
 
 void Exchange::WatchStream() {
-  const bool begun = this->last_event_at != this->try_began;
-  const Duration first_bound = std::max(
-      kLeastFirstEvent,
-      std::chrono::duration_cast<Duration>(this->route->latency_objective *
-                                           kFirstEventObjectives));
+  const bool begun = this->try_has_events;
+  const Duration first_bound =
+      std::max(kLeastFirstEvent,
+               std::chrono::duration_cast<Duration>(
+                   this->route->latency_objective * kFirstEventObjectives));
   this->stream_timer.Start(
       this->last_event_at + (begun ? kLongestGap : first_bound),
       [this] { this->CheckStream(); });
 }
 
 void Exchange::CheckStream() {
-  const bool begun = this->last_event_at != this->try_began;
+  const bool begun = this->try_has_events;
   if (begun && this->relay.Now() - this->last_event_at < kLongestGap) {
     this->WatchStream();
     return;
@@ -524,8 +549,8 @@
   // Spread, so that callers don't come back together.
   const double spread =
       std::uniform_real_distribution<double>(0.7, 1.3)(this->relay.random);
-  const auto retry_after = std::min(
-      std::chrono::duration_cast<Duration>(wished * spread), longest);
+  const auto retry_after =
+      std::min(std::chrono::duration_cast<Duration>(wished * spread), longest);
   this->Refuse({503, why, retry_after});
 }
 
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -59,6 +59,7 @@
   void BeginStream();
   void CompleteStream();
   void CompletePlain();
+  void NoteRefusal(Server& refuser, unsigned status);
   void ForwardAnswer();
   /// Ends the try under way and accounts for its outcome.
   void EndTry(bool good);
@@ -96,8 +97,8 @@
   std::string body;
 
   // Over all tries.
-  int tries = 0;            ///< Requests sent to servers.
-  int tries_run = 0;        ///< Those that a server may have run.
+  int tries = 0;      ///< Requests sent to servers.
+  int tries_run = 0;  ///< Those that a server may have run.
   bool may_have_run = false;
   std::vector<std::string> excluded;
   std::string last_failure;
@@ -106,7 +107,8 @@
   EventSplitter splitter;
   bool stream_begun = false;
   std::optional<std::uint64_t> last_event_id;
-  TimePoint last_event_at{};
+  TimePoint last_event_at{};  ///< Or the beginning of the try.
+  bool try_has_events = false;
 };
 
 }  // namespace qp::relay
--- a/packages/relay/src/relay/layer_keeper.cc
+++ b/packages/relay/src/relay/layer_keeper.cc
@@ -46,9 +46,9 @@
       }
       const double share =
           static_cast<double>(order.layers.size()) / profile.layers;
-      const auto load_time = std::chrono::duration_cast<Duration>(
-          std::chrono::duration<double>(profile.load_seconds * share *
-                                        kLoadCrowding));
+      const auto load_time =
+          std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+              profile.load_seconds * share * kLoadCrowding));
       co_await this->Send(server->record, order.layers, load_time);
     }
   }
@@ -67,8 +67,8 @@
     engine.accelerator = server->record.accelerator;
     engine.layers = server->record.layers;
     engine.movable = !server->IsSuspect(now);
-    const auto ordered = this->pending.find(
-        {server->record.id, server->record.incarnation});
+    const auto ordered =
+        this->pending.find({server->record.id, server->record.incarnation});
     if (ordered != this->pending.end()) {
       const bool done = ordered->second.layers == server->record.layers;
       if (done || now >= ordered->second.lost_at) {
--- a/packages/relay/src/relay/layer_keeper.h
+++ b/packages/relay/src/relay/layer_keeper.h
@@ -25,8 +25,7 @@
   /// Time until a refused order is tried again. Heartbeats come every 1.2 s.
   static constexpr Duration kRetry = std::chrono::milliseconds(1500);
 
-  LayerKeeper(Relay& relay, Clock& clock, EngineControl& control,
-              Lease& lease);
+  LayerKeeper(Relay& relay, Clock& clock, EngineControl& control, Lease& lease);
 
   /// Runs until the process ends or drains.
   Task<void> Run();
--- a/packages/relay/src/relay/load_exchange.cc
+++ b/packages/relay/src/relay/load_exchange.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <msgpack.hpp>
+#include <span>
 #include <utility>
 
 #include "foundation/wait.h"
@@ -14,31 +15,140 @@
 using asio::ip::udp;
 
 /// First member of each report; other datagrams are dropped.
-constexpr std::uint32_t kReportFormat = 1;
+constexpr std::uint32_t kReportFormat = 2;
 
-/// Members of a report and of a load on the wire.
-constexpr std::size_t kReportMembers = 6;
+/// Members of the arrays of a report.
+constexpr std::size_t kReportMembers = 11;
 constexpr std::size_t kLoadMembers = 3;
+constexpr std::size_t kNewsMembers = 3;
+constexpr std::size_t kEntryMembers = 3;
+constexpr std::size_t kRecordMembers = 9;
+
+/// Largest report; what does not fit is left out, and peers read it from the
+/// store themselves.
+constexpr std::size_t kMaxReportBytes = 8 * 1024;
+
+using Packer = msgpack::packer<msgpack::sbuffer>;
 
 Error Malformed(std::string detail) {
   return Error{ErrorCode::kProtocol, "load.decode", "", std::move(detail)};
 }
 
-ServerLoad LoadOf(const msgpack::object& object) {
-  if (object.type != msgpack::type::ARRAY ||
-      object.via.array.size != kLoadMembers) {
+/// Elements of an array; throws on anything else.
+std::span<const msgpack::object> ElementsOf(const msgpack::object& object) {
+  if (object.type != msgpack::type::ARRAY) {
     throw msgpack::type_error();
   }
-  const msgpack::object* members = object.via.array.ptr;
+  return {object.via.array.ptr, object.via.array.size};
+}
+
+std::span<const msgpack::object> ElementsOf(const msgpack::object& object,
+                                            std::size_t count) {
+  const auto elements = ElementsOf(object);
+  if (elements.size() != count) {
+    throw msgpack::type_error();
+  }
+  return elements;
+}
+
+ServerLoad LoadOf(const msgpack::object& object) {
+  const auto members = ElementsOf(object, kLoadMembers);
   return {members[0].as<std::string>(), members[1].as<std::uint32_t>(),
           members[2].as<double>()};
 }
 
+void Pack(Packer& packer, const ServerRecord& record) {
+  packer.pack_array(kRecordMembers);
+  packer.pack(record.service);
+  packer.pack(record.address);
+  packer.pack(record.availability_zone);
+  packer.pack(record.slots);
+  packer.pack(record.draining);
+  packer.pack(record.incarnation);
+  packer.pack(record.accelerator);
+  packer.pack(record.layers.first);
+  packer.pack(record.layers.end);
+}
+
+ServerRecord RecordOf(const msgpack::object& object) {
+  const auto members = ElementsOf(object, kRecordMembers);
+  ServerRecord record;
+  record.service = members[0].as<std::string>();
+  record.address = members[1].as<std::string>();
+  record.availability_zone = members[2].as<std::string>();
+  record.slots = members[3].as<std::uint32_t>();
+  record.draining = members[4].as<bool>();
+  record.incarnation = members[5].as<std::int64_t>();
+  record.accelerator = members[6].as<std::string>();
+  record.layers = {members[7].as<std::uint32_t>(),
+                   members[8].as<std::uint32_t>()};
+  return record;
+}
+
+void Pack(Packer& packer, const ServerNews& news) {
+  packer.pack_array(kNewsMembers);
+  packer.pack(news.from);
+  packer.pack(news.to);
+  packer.pack_array(static_cast<std::uint32_t>(news.entries.size()));
+  for (const auto& entry : news.entries) {
+    packer.pack_array(kEntryMembers);
+    packer.pack(entry.id);
+    packer.pack(entry.removed);
+    if (entry.record) {
+      Pack(packer, *entry.record);
+    } else {
+      packer.pack_nil();
+    }
+  }
+}
+
+ServerNews NewsOf(const msgpack::object& object) {
+  const auto members = ElementsOf(object, kNewsMembers);
+  ServerNews news;
+  news.from = members[0].as<std::uint64_t>();
+  news.to = members[1].as<std::uint64_t>();
+  for (const auto& element : ElementsOf(members[2])) {
+    const auto parts = ElementsOf(element, kEntryMembers);
+    ServerEntry entry;
+    entry.id = parts[0].as<std::string>();
+    entry.removed = parts[1].as<bool>();
+    if (!parts[2].is_nil()) {
+      entry.record = RecordOf(parts[2]);
+      entry.record->id = entry.id;
+    }
+    news.entries.push_back(std::move(entry));
+  }
+  return news;
+}
+
+LoadReport ReportOf(const msgpack::object& object) {
+  const auto members = ElementsOf(object, kReportMembers);
+  if (members[0].as<std::uint32_t>() != kReportFormat) {
+    throw msgpack::type_error();
+  }
+  LoadReport report;
+  report.node = members[1].as<std::string>();
+  report.availability_zone = members[2].as<std::string>();
+  report.incarnation = members[3].as<std::int64_t>();
+  report.number = members[4].as<std::uint64_t>();
+  for (const auto& load : ElementsOf(members[5])) {
+    report.loads.push_back(LoadOf(load));
+  }
+  report.configuration_version = members[6].as<std::uint64_t>();
+  report.holds_lease = members[7].as<bool>();
+  report.server_revision = members[8].as<std::uint64_t>();
+  report.server_age_ms = members[9].as<std::uint32_t>();
+  for (const auto& news : ElementsOf(members[10])) {
+    report.news.push_back(NewsOf(news));
+  }
+  return report;
+}
+
 }  // namespace
 
 std::string EncodeLoadReport(const LoadReport& report) {
   msgpack::sbuffer bytes;
-  msgpack::packer<msgpack::sbuffer> packer(bytes);
+  Packer packer(bytes);
   packer.pack_array(kReportMembers);
   packer.pack(kReportFormat);
   packer.pack(report.node);
@@ -52,32 +162,21 @@
     packer.pack(load.streams);
     packer.pack(load.kv_token_layers);
   }
+  packer.pack(report.configuration_version);
+  packer.pack(report.holds_lease);
+  packer.pack(report.server_revision);
+  packer.pack(report.server_age_ms);
+  packer.pack_array(static_cast<std::uint32_t>(report.news.size()));
+  for (const auto& news : report.news) {
+    Pack(packer, news);
+  }
   return {bytes.data(), bytes.size()};
 }
 
 Result<LoadReport> DecodeLoadReport(std::string_view bytes) {
   try {
     const auto handle = msgpack::unpack(bytes.data(), bytes.size());
-    const msgpack::object& object = handle.get();
-    if (object.type != msgpack::type::ARRAY ||
-        object.via.array.size != kReportMembers) {
-      return Malformed("not a report");
-    }
-    const msgpack::object* members = object.via.array.ptr;
-    if (members[0].as<std::uint32_t>() != kReportFormat ||
-        members[5].type != msgpack::type::ARRAY) {
-      return Malformed("another format");
-    }
-    LoadReport report;
-    report.node = members[1].as<std::string>();
-    report.availability_zone = members[2].as<std::string>();
-    report.incarnation = members[3].as<std::int64_t>();
-    report.number = members[4].as<std::uint64_t>();
-    const auto& loads = members[5].via.array;
-    for (std::uint32_t index = 0; index < loads.size; ++index) {
-      report.loads.push_back(LoadOf(loads.ptr[index]));
-    }
-    return report;
+    return ReportOf(handle.get());
   } catch (const std::exception& failure) {
     return Malformed(failure.what());
   }
@@ -115,10 +214,12 @@
   }
 }
 
-LoadExchange::LoadExchange(Relay& shared, Clock& time, std::string name)
+LoadExchange::LoadExchange(Relay& shared, Clock& time, std::string name,
+                           ReportListener& receiver)
     : relay(shared),
       clock(time),
       node(std::move(name)),
+      listener(receiver),
       incarnation(time.WallNow()),
       socket(shared.io) {}
 
@@ -142,9 +243,11 @@
   return Ok();
 }
 
-void LoadExchange::SetPeers(std::map<std::string, std::string> zone_by_address) {
+void LoadExchange::SetPeers(
+    std::map<std::string, std::string> zone_by_address) {
   this->peers = std::move(zone_by_address);
   this->peers.erase(this->own_address);
+  this->relay.other_zones_known = this->peers.size() < kMaxForOtherZones;
 }
 
 void LoadExchange::Receive() {
@@ -160,6 +263,7 @@
             this->relay.metrics.Count("quetzalpost_load_reports_total",
                                       "malformed");
           } else if (report.value().node != this->node) {
+            this->listener.OnReport(report.value());
             this->loads.Put(std::move(report.value()), this->clock.Now());
           }
         }
@@ -169,8 +273,8 @@
 
 Task<void> LoadExchange::Run() {
   while (true) {
-    const std::size_t in_zone = static_cast<std::size_t>(
-        std::max(1.0, this->relay.processes_in_zone));
+    const std::size_t in_zone =
+        static_cast<std::size_t>(std::max(1.0, this->relay.processes_in_zone));
     const auto slowdown = std::max<std::size_t>(1, in_zone / kFullRatePeers);
     co_await SleepFor(this->clock, kInterval * slowdown);
     this->loads.Expire(this->clock.Now());
@@ -191,13 +295,20 @@
           {server.record.id, server.in_flight, server.kv_token_layers});
     }
   });
+  this->relay.servers.ClearUnreportedLoads();
+  this->listener.Describe(report);
   return report;
 }
 
 void LoadExchange::SendReports() {
-  const std::string bytes = EncodeLoadReport(this->MakeReport());
+  LoadReport report = this->MakeReport();
+  std::string bytes = EncodeLoadReport(report);
+  if (bytes.size() > kMaxReportBytes) {
+    report.news.clear();
+    bytes = EncodeLoadReport(report);
+  }
   const bool to_others = this->number % kOtherZoneEvery == 0 &&
-                         this->peers.size() < kMaxForOtherZones;
+                         (this->relay.other_zones_known || report.holds_lease);
   for (const auto& [address, zone] : this->peers) {
     if (zone != this->relay.availability_zone && !to_others) {
       continue;
--- a/packages/relay/src/relay/load_exchange.h
+++ b/packages/relay/src/relay/load_exchange.h
@@ -11,6 +11,7 @@
 #include "foundation/asio.h"
 #include "foundation/clock.h"
 #include "foundation/error.h"
+#include "relay/deployment_store.h"
 #include "relay/relay.h"
 
 namespace qp::relay {
@@ -24,6 +25,13 @@
   bool operator==(const ServerLoad&) const = default;
 };
 
+/// Changes of the list of servers that one look at the store has shown.
+struct ServerNews {
+  std::uint64_t from = 0;  ///< Revision that the changes follow.
+  std::uint64_t to = 0;
+  std::vector<ServerEntry> entries;
+};
+
 /// What one process tells the others.
 struct LoadReport {
   std::string node;
@@ -31,8 +39,11 @@
   std::int64_t incarnation = 0;  ///< Grows with each start of the node.
   std::uint64_t number = 0;      ///< Grows with each report of an incarnation.
   std::vector<ServerLoad> loads;
-
-  bool operator==(const LoadReport&) const = default;
+  std::uint64_t configuration_version = 0;
+  bool holds_lease = false;
+  std::uint64_t server_revision = 0;  ///< Of the list of servers in use.
+  std::uint32_t server_age_ms = 0;    ///< Since that was true of the store.
+  std::vector<ServerNews> news;       ///< Latest, oldest first.
 };
 
 std::string EncodeLoadReport(const LoadReport& report);
@@ -61,25 +72,37 @@
   std::map<std::string, Entry, std::less<>> reports;
 };
 
+/// Takes what peers report besides their load.
+class ReportListener {
+ public:
+  virtual ~ReportListener() = default;
+  virtual void OnReport(const LoadReport& report) = 0;
+  /// Fills in what this process reports besides its load.
+  virtual void Describe(LoadReport& report) = 0;
+};
+
 /// Tells the processes of a deployment one another's load on the backend
-/// servers, by datagrams: a lost one is replaced by the next.
+/// servers and what they read from the store, by datagrams: a lost one is
+/// replaced by the next.
 ///
 /// Peers of the same zone are told often, as they use the same engines; peers
-/// of other zones seldom, and not at all in large deployments.
+/// of other zones seldom, and in large deployments by the holder of the lease
+/// only.
 class LoadExchange {
  public:
   /// Time between two reports to a peer of the zone. Some two requests per
   /// process come in that time at the sizes of today.
   static constexpr Duration kInterval = std::chrono::milliseconds(150);
   /// Peers in the zone from which on reports are sent less often, so that a
-  /// process gets no more than some fifty a second.
-  static constexpr std::size_t kFullRatePeers = 7;
+  /// process gets no more than some two hundred a second.
+  static constexpr std::size_t kFullRatePeers = 30;
   /// Reports in the zone for each one to other zones.
   static constexpr std::uint64_t kOtherZoneEvery = 3;
   /// Processes from which on other zones are told nothing.
   static constexpr std::size_t kMaxForOtherZones = 24;
 
-  LoadExchange(Relay& relay, Clock& clock, std::string node);
+  LoadExchange(Relay& relay, Clock& clock, std::string node,
+               ReportListener& listener);
 
   Result<void> Listen(std::string_view address);
   /// `zone_by_address` names all processes, this one included.
@@ -95,6 +118,7 @@
   Relay& relay;
   Clock& clock;
   std::string node;
+  ReportListener& listener;
   std::string own_address;
   std::int64_t incarnation;
   asio::ip::udp::socket socket;
--- a/packages/relay/src/relay/relay.h
+++ b/packages/relay/src/relay/relay.h
@@ -39,7 +39,7 @@
         events(sink),
         availability_zone(std::move(zone)),
         pool(timers),
-        allowance(retry_bound),
+        allowance(retry_bound, timers.Now()),
         random(seed) {}
 
   TimePoint Now() const { return this->timers.Now(); }
@@ -57,6 +57,7 @@
   /// Null until the first configuration is known.
   std::shared_ptr<const ConfigurationInForce> in_force;
   double processes_in_zone = 1;  ///< Processes of this zone, this one included.
+  bool other_zones_known = true;  ///< Whether they report their load.
   bool draining = false;
 };
 
--- a/packages/relay/src/relay/relay_metrics.cc
+++ b/packages/relay/src/relay/relay_metrics.cc
@@ -15,9 +15,7 @@
 
 /// Buckets from 1 ms to 30 s, the span between a hop on loopback and the
 /// longest deadline.
-Histogram MakeHistogram() {
-  return bh::make_histogram(Axis(24, 0.001, 30.0));
-}
+Histogram MakeHistogram() { return bh::make_histogram(Axis(24, 0.001, 30.0)); }
 
 struct Latency {
   Histogram histogram = MakeHistogram();
@@ -66,15 +64,14 @@
   for (const auto& [name, series] : this->state->counters) {
     text += "# TYPE " + name + " counter\n";
     for (const auto& [label, value] : series) {
-      text += name + "{outcome=\"" + label + "\"} " + std::to_string(value) +
-              "\n";
+      text +=
+          name + "{outcome=\"" + label + "\"} " + std::to_string(value) + "\n";
     }
   }
   for (const auto& [name, latency] : this->state->latencies) {
     text += "# TYPE " + name + " histogram\n";
     std::uint64_t below = 0;
-    for (auto&& bucket :
-         bh::indexed(latency.histogram, bh::coverage::all)) {
+    for (auto&& bucket : bh::indexed(latency.histogram, bh::coverage::all)) {
       below += static_cast<std::uint64_t>(*bucket);
       const auto upper = bucket.bin().upper();
       const bool last = bucket.index() == latency.histogram.axis(0).size();
--- a/packages/relay/src/relay/responses.cc
+++ b/packages/relay/src/relay/responses.cc
@@ -23,7 +23,8 @@
 std::string Lower(std::string_view text) {
   std::string lower(text);
   for (char& letter : lower) {
-    letter = static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+    letter =
+        static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
   }
   return lower;
 }
@@ -59,8 +60,7 @@
   return text;
 }
 
-std::string WriteChunkedHead(unsigned status,
-                             const beast_http::fields& headers,
+std::string WriteChunkedHead(unsigned status, const beast_http::fields& headers,
                              bool keep_open) {
   std::string text = StatusLine(status);
   AppendHeaders(headers, text);
--- a/packages/relay/src/relay/responses.h
+++ b/packages/relay/src/relay/responses.h
@@ -1,11 +1,10 @@
 #pragma once
 
+#include <boost/beast/http/fields.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
 
-#include <boost/beast/http/fields.hpp>
-
 #include "foundation/clock.h"
 
 namespace qp::relay {
--- a/packages/relay/src/relay/retry_allowance.cc
+++ b/packages/relay/src/relay/retry_allowance.cc
@@ -16,9 +16,11 @@
       std::accumulate(used.requests.begin(), used.requests.end(), 0.0);
   const double repeats =
       std::accumulate(used.repeats.begin(), used.repeats.end(), 0.0);
+  const bool first = now - this->started < this->limit.window;
   const double bound =
-      kUse * (this->limit.ratio * requests +
-              this->limit.extra / static_cast<double>(this->processes));
+      (first ? kFirstUse : kUse) *
+      (this->limit.ratio * requests +
+       this->limit.extra / static_cast<double>(this->processes));
   if (repeats + 1 > bound) {
     return false;
   }
@@ -33,7 +35,8 @@
     found = this->usage.emplace(std::string(service), Usage{}).first;
   }
   Usage& used = found->second;
-  const auto step = now.time_since_epoch() / (this->limit.window / (kSteps - 1));
+  const auto step =
+      now.time_since_epoch() / (this->limit.window / (kSteps - 1));
   const auto passed = std::min<std::int64_t>(step - used.step, kSteps);
   for (std::int64_t offset = 1; offset <= passed; ++offset) {
     used.requests[(used.step + offset) % kSteps] = 0;
--- a/packages/relay/src/relay/retry_allowance.h
+++ b/packages/relay/src/relay/retry_allowance.h
@@ -21,7 +21,10 @@
     Duration window = std::chrono::seconds(10);
   };
 
-  explicit RetryAllowance(Bound bound) : limit(bound) {}
+  /// `started_at` is the start of the process, which knows nothing of what an
+  /// earlier incarnation has used.
+  RetryAllowance(Bound bound, TimePoint started_at)
+      : limit(bound), started(started_at) {}
 
   void SetBound(Bound bound) { this->limit = bound; }
   /// Processes that share the fixed part.
@@ -37,7 +40,10 @@
   static constexpr std::size_t kSteps = 6;
   /// Part of the bound that is used: requests are counted where they are
   /// sent, the bound where they arrive.
-  static constexpr double kUse = 0.8;
+  static constexpr double kUse = 0.75;
+  /// The same in the first window of a process: its earlier incarnation may
+  /// have used its own part in the same span.
+  static constexpr double kFirstUse = 0.25;
 
   struct Usage {
     std::array<double, kSteps> requests{};
@@ -48,6 +54,7 @@
   Usage& Advance(std::string_view service, TimePoint now);
 
   Bound limit;
+  TimePoint started;
   std::size_t processes = 1;
   std::map<std::string, Usage, std::less<>> usage;
 };
--- a/packages/relay/src/relay/server.cc
+++ b/packages/relay/src/relay/server.cc
@@ -29,10 +29,10 @@
 void Server::NoteAnswer(TimePoint now, Duration latency, bool good) {
   const double elapsed_ms =
       std::chrono::duration<double, std::milli>(latency).count();
-  this->latency_ms = this->latency_ms == 0
-                         ? elapsed_ms
-                         : this->latency_ms +
-                               kAverageWeight * (elapsed_ms - this->latency_ms);
+  this->latency_ms =
+      this->latency_ms == 0
+          ? elapsed_ms
+          : this->latency_ms + kAverageWeight * (elapsed_ms - this->latency_ms);
   this->failure_rate +=
       kAverageWeight * ((good ? 0.0 : 1.0) - this->failure_rate);
   if (good) {
--- a/packages/relay/src/relay/server.h
+++ b/packages/relay/src/relay/server.h
@@ -21,6 +21,9 @@
   /// Tokens of the requests in flight, times the layers that each uses here.
   double kv_token_layers = 0;
   // The same of all other processes, as they last reported it.
+  /// Since this process last told the others.
+  std::uint32_t unreported_streams = 0;
+  double unreported_kv_token_layers = 0;
   std::uint32_t peer_streams = 0;
   double peer_kv_token_layers = 0;
 
@@ -29,11 +32,11 @@
   TimePoint reported_at{};
 
   // Failures.
-  TimePoint last_progress{};   ///< Last answer or event that came through it.
-  TimePoint suspect_until{};   ///< Gets no requests before, if others can.
+  TimePoint last_progress{};  ///< Last answer or event that came through it.
+  TimePoint suspect_until{};  ///< Gets no requests before, if others can.
   int failures_in_row = 0;
-  double failure_rate = 0;     ///< Moving average over answers, 0 to 1.
-  double latency_ms = 0;       ///< Moving average of whole answers; 0: unknown.
+  double failure_rate = 0;  ///< Moving average over answers, 0 to 1.
+  double latency_ms = 0;    ///< Moving average of whole answers; 0: unknown.
 
   bool IsUsable() const {
     return !this->record.draining && !this->removed_at.has_value();
--- a/packages/relay/src/relay/server_choice.cc
+++ b/packages/relay/src/relay/server_choice.cc
@@ -14,14 +14,19 @@
 /// The same to another zone. Well above the delay, since all activations
 /// between zones share one pipe.
 constexpr double kZoneHopMs = 6.0;
-/// A chain in another zone must be faster by this much, in ms a token.
-constexpr double kOtherZoneMs = 1.0;
+/// A chain in another zone must be faster by this factor, as the load there is
+/// known later. Where it is not known at all, it is the last resort.
+constexpr double kOtherZoneFactor = 3.0;
+constexpr double kUnknownZoneFactor = 1000.0;
 /// Spread of predictions, so that processes with the same view don't all
 /// choose the same chain.
 constexpr double kNoise = 0.15;
 /// Part of an engine's memory that may be planned for. Engines preempt
 /// requests when memory runs out.
-constexpr double kMemoryUse = 0.92;
+constexpr double kMemoryUse = 0.9;
+/// An engine whose memory is taken up to u counts as slower by 1 / (1 - u), so
+/// that others fill up before it is full. Bounds that factor.
+constexpr double kLeastRoom = 0.05;
 /// Weight of the failure rate against load for plain services: a server that
 /// fails half of its requests counts as having some four more in flight.
 constexpr double kFailureWeight = 8.0;
@@ -59,11 +64,15 @@
         this->profile.accelerators.find(server->record.accelerator);
     if (kind == this->profile.accelerators.end() ||
         server->record.layers.empty() ||
-        server->record.layers.end > this->profile.layers ||
-        !this->HasMemory(*server, kind->second)) {
+        server->record.layers.end > this->profile.layers) {
       return;
     }
-    const double streams = server->in_flight + server->peer_streams;
+    const double taken = this->MemoryTaken(*server, kind->second);
+    if (taken > kMemoryUse) {
+      return;
+    }
+    const double streams = server->in_flight + server->peer_streams +
+                           this->query.peers * server->unreported_streams;
     const double context_ms =
         this->profile.step_ms_per_1k_context *
         (this->query.prompt_tokens + this->query.output_tokens) / 1000;
@@ -73,7 +82,7 @@
         kind->second.step_factor / this->profile.layers *
         (this->profile.step_ms +
          streams * (this->profile.step_ms_per_stream + context_ms)) *
-        Spread(this->random);
+        Spread(this->random) / std::max(kLeastRoom, 1 - taken);
     this->candidates.push_back(std::move(candidate));
   }
 
@@ -90,15 +99,20 @@
   }
 
  private:
-  bool HasMemory(const Server& server, const Accelerator& kind) const {
+  /// Part of the engine's memory for requests that would be taken.
+  double MemoryTaken(const Server& server, const Accelerator& kind) const {
     const auto held = server.record.layers.size();
     const double free_mb = kind.memory_mb - held * this->profile.layer_mb;
+    if (free_mb <= 0) {
+      return 1;
+    }
     const double mb_per_token_layer =
         this->profile.kv_bytes_per_token / 1e6 / this->profile.layers;
     const double wanted =
         server.kv_token_layers + server.peer_kv_token_layers +
+        this->query.peers * server.unreported_kv_token_layers +
         (this->query.prompt_tokens + this->query.output_tokens) * held;
-    return wanted * mb_per_token_layer <= free_mb * kMemoryUse;
+    return wanted * mb_per_token_layer / free_mb;
   }
 
   /// Finds the best chain that ends with candidate `index`. Ends of layers
@@ -118,10 +132,9 @@
         continue;
       }
       // Layers that both hold run on the faster one.
-      const std::uint32_t handover =
-          next.layer_ms < last.layer_ms
-              ? std::max(range.first, last.first + 1)
-              : held.end;
+      const std::uint32_t handover = next.layer_ms < last.layer_ms
+                                         ? std::max(range.first, last.first + 1)
+                                         : held.end;
       const bool same_zone = last.server->record.availability_zone ==
                              next.server->record.availability_zone;
       const double total = last.chain_ms -
@@ -143,8 +156,8 @@
       const bool complete =
           last.server->record.layers.end == this->profile.layers &&
           last.chain_ms < std::numeric_limits<double>::infinity();
-      if (complete && (best < 0 ||
-                       last.chain_ms < this->candidates[best].chain_ms)) {
+      if (complete &&
+          (best < 0 || last.chain_ms < this->candidates[best].chain_ms)) {
         best = static_cast<int>(index);
       }
     }
@@ -187,8 +200,10 @@
     if (!chain) {
       continue;
     }
+    const double factor =
+        query.other_zones_known ? kOtherZoneFactor : kUnknownZoneFactor;
     const double total =
-        chain->step_ms + (zone == query.availability_zone ? 0 : kOtherZoneMs);
+        chain->step_ms * (zone == query.availability_zone ? 1.0 : factor);
     if (!best || total < best_ms) {
       best = std::move(chain);
       best_ms = total;
--- a/packages/relay/src/relay/server_choice.h
+++ b/packages/relay/src/relay/server_choice.h
@@ -30,6 +30,11 @@
   std::span<const std::string> excluded;  ///< Servers that failed the request.
   double prompt_tokens = 0;
   double output_tokens = 0;
+  /// Other processes that choose among the same servers. Each is taken to have
+  /// sent as much as this one since the last report, and to the same servers.
+  double peers = 0;
+  /// Whether processes of other zones report their load to this one.
+  bool other_zones_known = true;
 };
 
 /// Chooses the chain with the least predicted time for a token, inside of one
--- a/packages/relay/src/relay/server_directory.cc
+++ b/packages/relay/src/relay/server_directory.cc
@@ -85,6 +85,13 @@
   }
 }
 
+void ServerDirectory::ClearUnreportedLoads() {
+  for (const auto& [id, server] : this->by_id) {
+    server->unreported_streams = 0;
+    server->unreported_kv_token_layers = 0;
+  }
+}
+
 std::vector<std::string> ServerDirectory::Ids() const {
   std::vector<std::string> ids;
   for (const auto& [id, server] : this->by_id) {
--- a/packages/relay/src/relay/server_directory.h
+++ b/packages/relay/src/relay/server_directory.h
@@ -36,6 +36,7 @@
   std::vector<std::string> Ids() const;
   void ForEach(const std::function<void(const Server&)>& visit) const;
   void ClearPeerLoads();
+  void ClearUnreportedLoads();
   std::size_t size() const { return this->by_id.size(); }
 
  private:
--- a/packages/relay/src/relay/store_follower.cc
+++ b/packages/relay/src/relay/store_follower.cc
@@ -1,6 +1,7 @@
 #include "relay/store_follower.h"
 
 #include <algorithm>
+#include <random>
 #include <set>
 #include <utility>
 
@@ -12,56 +13,53 @@
                              DeploymentStore& source)
     : relay(shared), clock(time), store(source) {}
 
-Task<Result<ConfigurationPage>> StoreFollower::NextConfiguration(
-    std::optional<std::uint64_t> revision) {
-  return revision ? this->store.FollowConfiguration(*revision,
-                                                    kConfigurationWait)
-                  : this->store.ReadConfiguration();
+Task<Result<ConfigurationPage>> StoreFollower::NextConfiguration() {
+  const bool lone = this->clock.Now() - this->peer_heard_at > kPeerSilence;
+  return this->configuration_revision
+             ? this->store.FollowConfiguration(
+                   *this->configuration_revision,
+                   lone ? kLoneConfigurationWait : kConfigurationWait)
+             : this->store.ReadConfiguration();
 }
 
-Task<Result<ServerPage>> StoreFollower::NextServers(
-    std::optional<std::uint64_t> revision) {
-  return revision ? this->store.FollowServers(*revision, kServerWait)
-                  : this->store.ReadServers();
+Task<Result<ServerPage>> StoreFollower::NextServers() {
+  return this->server_revision
+             ? this->store.FollowServers(*this->server_revision, Duration{0})
+             : this->store.ReadServers();
 }
 
 Task<void> StoreFollower::FollowConfiguration() {
-  std::optional<std::uint64_t> revision;
-  Duration pause{};
   while (true) {
-    co_await this->ConfigurationStep(revision, pause);
+    const Duration pause = co_await this->StepConfiguration();
     if (pause > Duration{0}) {
       co_await SleepFor(this->clock, pause);
     }
   }
 }
 
-Task<void> StoreFollower::ConfigurationStep(
-    std::optional<std::uint64_t>& revision, Duration& pause) {
-  auto page = co_await this->NextConfiguration(revision);
+Task<Duration> StoreFollower::StepConfiguration() {
+  const auto page = co_await this->NextConfiguration();
   if (!page) {
-    pause = this->NoteFailure(page.error(), pause);
     if (page.error().code == ErrorCode::kNotFound) {
-      revision.reset();
+      this->configuration_revision.reset();
     }
-    co_return;
+    co_return this->NoteFailure(page.error());
   }
   this->NoteAnswer();
   this->TakeConfiguration(page.value());
-  // Before the first configuration a whole read tells more than the feed.
-  if (this->relay.in_force != nullptr) {
-    revision = page.value().revision;
-    pause = Duration{0};
-  } else {
-    pause = kFirstPause;
+  if (this->relay.in_force == nullptr) {
+    // Before the first configuration a whole read tells more than the feed.
+    co_return kFirstPause;
   }
+  this->configuration_revision = page.value().revision;
+  co_return Duration{0};
 }
 
 void StoreFollower::TakeConfiguration(const ConfigurationPage& page) {
   if (!page.unreadable.empty()) {
-    this->relay.events.Record(EventId::kRelayEntryUnreadable,
-                              {{"entry", "configuration"},
-                               {"detail", page.unreadable}});
+    this->relay.events.Record(
+        EventId::kRelayEntryUnreadable,
+        {{"entry", "configuration"}, {"detail", page.unreadable}});
   }
   if (!page.configuration) {
     return;
@@ -84,33 +82,141 @@
 }
 
 Task<void> StoreFollower::FollowServers() {
-  std::optional<std::uint64_t> revision;
-  Duration pause{};
   while (true) {
-    co_await this->ServerStep(revision, pause);
-    co_await SleepFor(this->clock, pause);
+    const Duration pause = co_await this->StepServers();
+    const bool failed = this->failure_pause > Duration{0};
+    if (failed || !this->servers_known) {
+      co_await SleepFor(this->clock, std::max(pause, kFirstPause));
+      continue;
+    }
+    co_await this->WaitForStaleServers(pause);
+  }
+}
+
+Task<void> StoreFollower::WaitForStaleServers(Duration age) {
+  // Each look of a peer moves the time of the next own look.
+  while (true) {
+    const TimePoint due = this->servers_true_at + age;
+    const TimePoint now = this->clock.Now();
+    if (now >= due) {
+      co_return;
+    }
+    co_await SleepFor(this->clock, due - now);
+  }
+}
+
+Task<void> StoreFollower::CatchUpConfiguration() {
+  this->catching_up = true;
+  const auto page = co_await this->store.ReadConfiguration();
+  this->catching_up = false;
+  if (page) {
+    this->TakeConfiguration(page.value());
   }
 }
 
-Task<void> StoreFollower::ServerStep(std::optional<std::uint64_t>& revision,
-                                     Duration& pause) {
-  const bool whole = !revision.has_value();
-  auto page = co_await this->NextServers(revision);
+Task<Duration> StoreFollower::StepServers() {
+  const bool whole = !this->server_revision.has_value();
+  const std::uint64_t asked_from = this->server_revision.value_or(0);
+  const TimePoint asked_at = this->clock.Now();
+  const auto page = co_await this->NextServers();
   if (!page) {
-    pause = this->NoteFailure(page.error(), pause);
     if (page.error().code == ErrorCode::kNotFound) {
-      revision.reset();
+      this->server_revision.reset();
     }
-    co_return;
+    co_return this->NoteFailure(page.error());
   }
   this->NoteAnswer();
-  pause = kServerPause;
-  if (whole && page.value().revision < this->newest_servers) {
-    co_return;  // Older than what is in use; read again.
+  const Duration pause =
+      kServerPause + Duration(std::uniform_int_distribution<Duration::rep>(
+                         0, kServerSpread.count())(this->relay.random));
+  if (page.value().revision < this->newest_servers) {
+    // Older than what is in use, which a peer may have told of meanwhile.
+    co_await SleepFor(this->clock, kServerPause);
+    co_return pause;
+  }
+  if (!whole && this->newest_servers == asked_from) {
+    this->KeepNews(asked_from, page.value());
   }
   this->TakeServers(page.value(), whole);
-  revision = page.value().revision;
+  this->server_revision = page.value().revision;
   this->newest_servers = page.value().revision;
+  this->servers_true_at = asked_at;
+  co_return pause;
+}
+
+bool StoreFollower::IsChange(const ServerEntry& entry) const {
+  const ServerPtr known = this->relay.servers.Find(entry.id);
+  return known == nullptr ? entry.record.has_value()
+                          : !entry.record || *entry.record != known->record;
+}
+
+void StoreFollower::KeepNews(std::uint64_t from, const ServerPage& page) {
+  const TimePoint now = this->clock.Now();
+  std::erase_if(this->own_news, [now](const auto& kept) {
+    return now - kept.first > kNewsTime;
+  });
+  ServerNews news;
+  news.from = from;
+  news.to = page.revision;
+  for (const auto& entry : page.entries) {
+    if (this->IsChange(entry)) {
+      news.entries.push_back(entry);
+    }
+  }
+  this->own_news.emplace_back(now, std::move(news));
+}
+
+void StoreFollower::Describe(LoadReport& report) {
+  const TimePoint now = this->clock.Now();
+  if (this->relay.in_force != nullptr) {
+    report.configuration_version = this->relay.in_force->configuration.version;
+  }
+  report.server_revision = this->newest_servers;
+  const Duration age =
+      std::min<Duration>(now - this->servers_true_at, std::chrono::hours(1));
+  report.server_age_ms = static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+  for (const auto& [at, news] : this->own_news) {
+    if (now - at <= kNewsTime) {
+      report.news.push_back(news);
+    }
+  }
+}
+
+void StoreFollower::TakeReport(const LoadReport& report) {
+  const TimePoint now = this->clock.Now();
+  this->peer_heard_at = now;
+  const auto version = this->relay.in_force == nullptr
+                           ? 0
+                           : this->relay.in_force->configuration.version;
+  if (report.configuration_version > version && !this->catching_up) {
+    asio::co_spawn(this->relay.io, this->CatchUpConfiguration(),
+                   asio::detached);
+  }
+  if (!this->server_revision) {
+    return;
+  }
+  for (const auto& news : report.news) {
+    this->TakeNews(news);
+  }
+  if (report.server_revision == this->newest_servers) {
+    const TimePoint true_at =
+        now - std::chrono::milliseconds(report.server_age_ms);
+    this->servers_true_at = std::max(this->servers_true_at, true_at);
+  }
+}
+
+void StoreFollower::TakeNews(const ServerNews& news) {
+  const bool follows = news.from <= this->newest_servers;
+  if (!follows || news.to <= this->newest_servers) {
+    return;
+  }
+  ServerPage page;
+  page.revision = news.to;
+  page.entries = news.entries;
+  this->TakeServers(page, false);
+  this->newest_servers = news.to;
+  this->server_revision = news.to;
 }
 
 void StoreFollower::TakeServers(const ServerPage& page, bool whole) {
@@ -171,25 +277,30 @@
   this->relay.servers.Remove(id, now, keep_until);
   this->relay.events.Record(
       EventId::kServerUnlisted,
-      {{"server", id}, {"may_have_lapsed", keep_until > now ? "true" : "false"}});
+      {{"server", id},
+       {"may_have_lapsed", keep_until > now ? "true" : "false"}});
 }
 
 void StoreFollower::NoteAnswer() {
+  this->failure_pause = Duration{0};
   if (!std::exchange(this->available, true)) {
     this->relay.events.Record(EventId::kTableAvailable, {});
   }
 }
 
-Duration StoreFollower::NoteFailure(const Error& error, Duration pause) {
+Duration StoreFollower::NoteFailure(const Error& error) {
   if (error.code != ErrorCode::kNotFound) {
     this->disturbed_at = this->clock.Now();
     if (std::exchange(this->available, false)) {
-      this->relay.events.Record(
-          EventId::kTableUnavailable,
-          {{"step", error.step}, {"peer", error.peer}, {"detail", error.detail}});
+      this->relay.events.Record(EventId::kTableUnavailable,
+                                {{"step", error.step},
+                                 {"peer", error.peer},
+                                 {"detail", error.detail}});
     }
   }
-  return std::clamp(pause * 2, kFirstPause, kLongestPause);
+  this->failure_pause =
+      std::clamp(this->failure_pause * 2, kFirstPause, kLongestPause);
+  return this->failure_pause;
 }
 
 }  // namespace qp::relay
--- a/packages/relay/src/relay/store_follower.h
+++ b/packages/relay/src/relay/store_follower.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "relay/deployment_store.h"
+#include "relay/load_exchange.h"
 #include "relay/relay.h"
 
 namespace qp::relay {
@@ -13,15 +14,30 @@
 ///
 /// While the store does not answer, both stay as they were. A configuration is
 /// replaced only by one with a higher version.
+///
+/// Processes share what they read of the list of servers: one that has heard
+/// of a recent look does not look itself (as in Trickle, RFC 6206), so that
+/// calls to the store don't grow with the number of processes. Without news
+/// from peers each process looks for itself.
 class StoreFollower {
  public:
-  /// A change of the configuration ends the wait at once. Bounds the time for
-  /// which a connection that fell silent goes unnoticed.
-  static constexpr Duration kConfigurationWait = std::chrono::milliseconds(2000);
+  /// A change of the configuration ends the wait at once. Where a connection
+  /// fell silent, peers tell of the change sooner.
+  static constexpr Duration kConfigurationWait =
+      std::chrono::milliseconds(8000);
+  /// The same where no peer has been heard of lately.
+  static constexpr Duration kLoneConfigurationWait =
+      std::chrono::milliseconds(1000);
   /// Pause between two looks at the list of servers, which changes all the
   /// time. A draining server must be out of use after 2 s.
-  static constexpr Duration kServerPause = std::chrono::milliseconds(700);
-  static constexpr Duration kServerWait = std::chrono::milliseconds(700);
+  static constexpr Duration kServerPause = std::chrono::milliseconds(600);
+  /// Spread of that pause, so that one process looks and the others hear of
+  /// it in time.
+  static constexpr Duration kServerSpread = std::chrono::milliseconds(500);
+  /// Time for which news are repeated in reports, some of which are lost.
+  static constexpr Duration kNewsTime = std::chrono::milliseconds(700);
+  /// Silence of all peers after which this process is on its own.
+  static constexpr Duration kPeerSilence = std::chrono::milliseconds(1500);
   /// Pauses after a failed call: doubled from the first to the longest.
   static constexpr Duration kFirstPause = std::chrono::milliseconds(100);
   static constexpr Duration kLongestPause = std::chrono::milliseconds(800);
@@ -32,32 +48,50 @@
   Task<void> FollowConfiguration();
   Task<void> FollowServers();
 
+  /// One call to the store; returns the pause until the next.
+  Task<Duration> StepConfiguration();
+  Task<Duration> StepServers();
+
+  /// Takes over what a peer has read.
+  void TakeReport(const LoadReport& report);
+  /// Adds what this process has read.
+  void Describe(LoadReport& report);
+
   bool has_servers() const { return this->servers_known; }
 
   /// Called after each change of the list or the configuration.
   std::function<void()> on_change;
 
  private:
-  Task<Result<ConfigurationPage>> NextConfiguration(
-      std::optional<std::uint64_t> revision);
-  Task<Result<ServerPage>> NextServers(std::optional<std::uint64_t> revision);
-  Task<void> ConfigurationStep(std::optional<std::uint64_t>& revision,
-                               Duration& pause);
-  Task<void> ServerStep(std::optional<std::uint64_t>& revision,
-                        Duration& pause);
+  Task<Result<ConfigurationPage>> NextConfiguration();
+  Task<void> CatchUpConfiguration();
+  Task<void> WaitForStaleServers(Duration age);
+  void TakeNews(const ServerNews& news);
+  void KeepNews(std::uint64_t from, const ServerPage& page);
+  bool IsChange(const ServerEntry& entry) const;
+  Task<Result<ServerPage>> NextServers();
   void TakeConfiguration(const ConfigurationPage& page);
   void TakeServers(const ServerPage& page, bool whole);
   void List(const ServerRecord& record, TimePoint now);
   void Unlist(const std::string& id, TimePoint now, TimePoint keep_until);
   void NoteAnswer();
-  Duration NoteFailure(const Error& error, Duration pause);
+  /// Returns the pause until the next try.
+  Duration NoteFailure(const Error& error);
 
   Relay& relay;
   Clock& clock;
   DeploymentStore& store;
+  /// Up to which the store was read; empty: the next read is a whole one.
+  std::optional<std::uint64_t> configuration_revision;
+  std::optional<std::uint64_t> server_revision;
+  Duration failure_pause{};  ///< After the last call, if it failed.
   bool servers_known = false;
   bool available = true;
   std::uint64_t newest_servers = 0;  ///< Revision of the list in use.
+  TimePoint servers_true_at{};       ///< When that was the list of the store.
+  TimePoint peer_heard_at{};
+  bool catching_up = false;
+  std::vector<std::pair<TimePoint, ServerNews>> own_news;
   std::optional<TimePoint> disturbed_at;  ///< Last failed call.
 };
 
--- a/packages/relay/src/relay/upstream_call.cc
+++ b/packages/relay/src/relay/upstream_call.cc
@@ -55,8 +55,7 @@
   }
   this->channel = std::make_shared<Channel>(Channel::Socket(this->io));
   this->connect_timer.Start(
-      this->timers.Now() + kConnectBound,
-      [weak = this->weak_from_this()] {
+      this->timers.Now() + kConnectBound, [weak = this->weak_from_this()] {
         if (auto self = weak.lock()) {
           self->Fail(ErrorCode::kTimeout, "no connection in time");
         }
@@ -138,8 +137,8 @@
   head.status = this->parser->get().result_int();
   head.facts = this->protocol.ReadResponse(this->parser->get().base());
   const std::string& answered = head.facts.attempt_id;
-  this->foreign = answered.empty() ? IsSuccess(head.status)
-                                   : answered != this->attempt_id;
+  this->foreign =
+      answered.empty() ? IsSuccess(head.status) : answered != this->attempt_id;
   if (this->foreign) {
     return;
   }
--- /dev/null
+++ b/packages/relay/tests/relay/configurations.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+
+#include "relay/deployment.h"
+#include "relay/server.h"
+
+namespace qp::relay::testing {
+
+using std::chrono::milliseconds;
+
+/// A model of 80 layers over three kinds of accelerators.
+inline EngineProfile MakeProfile() {
+  EngineProfile profile;
+  profile.layers = 80;
+  profile.layer_mb = 1750;
+  profile.kv_bytes_per_token = 918000;
+  profile.step_ms = 1.0;
+  profile.step_ms_per_stream = 0.007;
+  profile.step_ms_per_1k_context = 0.0095;
+  profile.load_seconds = 14;
+  profile.accelerators["large"] = {72000, 2.4, 3.2};
+  profile.accelerators["middle"] = {43200, 5.6, 2.7};
+  profile.accelerators["small"] = {21600, 16, 8.2};
+  return profile;
+}
+
+/// The same with memory for any range of layers and any load.
+inline EngineProfile MakeRoomyProfile() {
+  EngineProfile profile = MakeProfile();
+  for (auto& [kind, accelerator] : profile.accelerators) {
+    accelerator.memory_mb = 1e6;
+  }
+  return profile;
+}
+
+inline ServerRecord MakeRecord(std::string id, std::string service,
+                               std::string zone = "a") {
+  ServerRecord record;
+  record.id = std::move(id);
+  record.service = std::move(service);
+  record.address = "127.0.0.1:9";
+  record.availability_zone = std::move(zone);
+  record.slots = 4;
+  record.incarnation = 1;
+  return record;
+}
+
+inline ServerPtr MakeEngine(std::string id, std::string kind, LayerRange layers,
+                            std::string zone = "a") {
+  auto server = std::make_shared<Server>();
+  server->record = MakeRecord(std::move(id), "model", std::move(zone));
+  server->record.accelerator = std::move(kind);
+  server->record.layers = layers;
+  return server;
+}
+
+inline Route MakeRoute(std::string prefix, Repeat repeat,
+                       std::string service = "ledger") {
+  Route route;
+  route.name = "r" + prefix;
+  route.host = "shop.example";
+  route.prefix = std::move(prefix);
+  route.repeat = repeat;
+  route.timeout = milliseconds(2000);
+  route.latency_objective = milliseconds(300);
+  route.max_attempts = 2;
+  route.services = {{std::move(service), 1}};
+  return route;
+}
+
+}  // namespace qp::relay::testing
--- /dev/null
+++ b/packages/relay/tests/relay/load_exchange_test.cc
@@ -0,0 +1,83 @@
+#include "relay/load_exchange.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+
+#include "relay/configurations.h"
+
+using namespace qp::relay;
+using qp::TimePoint;
+using qp::relay::testing::MakeRecord;
+
+namespace {
+
+const TimePoint kNow{std::chrono::hours(1)};
+
+LoadReport MakeReport(std::string node, std::uint64_t number,
+                      std::uint32_t streams) {
+  LoadReport report;
+  report.node = std::move(node);
+  report.availability_zone = "a";
+  report.incarnation = 5;
+  report.number = number;
+  report.loads = {{"s1", streams, streams * 100.0}};
+  return report;
+}
+
+}  // namespace
+
+TEST_CASE("Load reports survive encoding", "[relay][load]") {
+  rc::check("for any loads", [] {
+    LoadReport report =
+        MakeReport("n", *rc::gen::arbitrary<std::uint64_t>(), 3);
+    const int count = *rc::gen::inRange(0, 50);
+    for (int index = 0; index < count; ++index) {
+      report.loads.push_back({*rc::gen::arbitrary<std::string>(),
+                              *rc::gen::arbitrary<std::uint32_t>(), 0.5});
+    }
+    const auto decoded = DecodeLoadReport(EncodeLoadReport(report));
+    RC_ASSERT(decoded.has_value());
+    RC_ASSERT(decoded.value().number == report.number);
+    RC_ASSERT(decoded.value().loads == report.loads);
+  });
+}
+
+TEST_CASE("Bytes that are no load report are refused", "[relay][load]") {
+  rc::check("for any bytes", [] {
+    const auto bytes = *rc::gen::arbitrary<std::string>();
+    const auto decoded = DecodeLoadReport(bytes);
+    RC_ASSERT(!decoded.has_value());
+    RC_ASSERT(decoded.error().code == qp::ErrorCode::kProtocol);
+  });
+  const auto whole = EncodeLoadReport(MakeReport("n", 1, 2));
+  CHECK_FALSE(DecodeLoadReport(whole.substr(0, whole.size() - 1)));
+}
+
+TEST_CASE("Peers' loads add up and old reports don't count", "[relay][load]") {
+  ServerDirectory servers;
+  servers.Put(MakeRecord("s1", "ledger"), kNow);
+  PeerLoads loads;
+  loads.Put(MakeReport("n1", 2, 3), kNow);
+  loads.Put(MakeReport("n2", 1, 4), kNow + std::chrono::seconds(1));
+  loads.Put(MakeReport("n1", 1, 50), kNow);  // Overtaken on the way.
+  loads.Apply(servers);
+  CHECK(servers.Find("s1")->peer_streams == 7);
+  CHECK(servers.Find("s1")->peer_kv_token_layers == 700);
+  loads.Expire(kNow + std::chrono::seconds(2));
+  loads.Apply(servers);
+  CHECK(servers.Find("s1")->peer_streams == 4);
+}
+
+TEST_CASE("A restarted peer's first report replaces its last one",
+          "[relay][load]") {
+  ServerDirectory servers;
+  servers.Put(MakeRecord("s1", "ledger"), kNow);
+  PeerLoads loads;
+  loads.Put(MakeReport("n1", 90, 3), kNow);
+  LoadReport restarted = MakeReport("n1", 1, 8);
+  restarted.incarnation = 6;
+  loads.Put(restarted, kNow);
+  loads.Apply(servers);
+  CHECK(servers.Find("s1")->peer_streams == 8);
+}
--- /dev/null
+++ b/packages/relay/tests/relay/relay_harness.h
@@ -0,0 +1,211 @@
+#pragma once
+
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "relay/caller_listener.h"
+#include "relay/configurations.h"
+#include "relay/relay.h"
+#include "testing/test_runtime.h"
+
+namespace qp::relay::testing {
+
+/// Headers with names of the tests' own.
+class PlainProtocol : public Protocol {
+ public:
+  RequestFacts ReadRequest(const http::Request& request) const override {
+    RequestFacts facts;
+    facts.attempt_id = http::HeaderOr(request, "Attempt");
+    facts.host = http::HeaderOr(request, "Host");
+    facts.path = http::PathOf(request);
+    facts.key = http::HeaderOr(request, "Key");
+    const std::string deadline(http::HeaderOr(request, "Deadline-Ms"));
+    if (!deadline.empty()) {
+      facts.deadline = milliseconds(std::stoi(deadline));
+    }
+    return facts;
+  }
+
+  std::string WriteRequest(const http::Request& request,
+                           const ForwardFacts& facts) const override {
+    std::string text = std::string(request.method_string()) + " " +
+                       std::string(request.target()) + " HTTP/1.1\r\n";
+    text += "Attempt: " + std::string(http::HeaderOr(request, "Attempt")) +
+            "\r\nServer: " + std::string(facts.server_id) +
+            "\r\nWorkspace: " + std::string(facts.workspace) + "\r\n";
+    if (facts.last_event_id) {
+      text += "Last: " + std::to_string(*facts.last_event_id) + "\r\n";
+    }
+    return text + "Content-Length: " + std::to_string(request.body().size()) +
+           "\r\n\r\n" + request.body();
+  }
+
+  ResponseFacts ReadResponse(
+      const boost::beast::http::fields& headers) const override {
+    ResponseFacts facts;
+    const auto value = [&headers](const char* name) {
+      const auto found = headers.find(name);
+      return found == headers.end() ? std::string()
+                                    : std::string(found->value());
+    };
+    facts.attempt_id = value("Attempt");
+    facts.is_signed = !value("Signature").empty();
+    facts.not_executed = !value("Not-Run").empty();
+    return facts;
+  }
+};
+
+/// One end of a connection that the test holds.
+class Peer : public ChannelReader {
+ public:
+  explicit Peer(std::shared_ptr<Channel> open) : channel(std::move(open)) {}
+  ~Peer() override { this->channel->Close(); }
+
+  void OnBytes(std::string_view bytes) override { this->received += bytes; }
+  void OnEnd(const boost::system::error_code&) override {
+    this->ended = true;
+    this->channel->Close();
+  }
+
+  std::shared_ptr<Channel> channel;
+  std::string received;
+  bool ended = false;
+};
+
+/// A backend server whose answers the test writes by hand.
+class ScriptedServer {
+ public:
+  ScriptedServer(asio::io_context& io)
+      : acceptor(io, {asio::ip::address_v4::loopback(), 0}) {
+    this->Accept();
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" +
+           std::to_string(this->acceptor.local_endpoint().port());
+  }
+  /// Requests so far, over all connections.
+  int requests() const {
+    int count = 0;
+    for (const auto& peer : this->peers) {
+      for (auto at = peer->received.find("HTTP/1.1\r\n");
+           at != std::string::npos;
+           at = peer->received.find("HTTP/1.1\r\n", at + 1)) {
+        ++count;
+      }
+    }
+    return count;
+  }
+  Peer& last() { return *this->peers.back(); }
+
+  std::vector<std::unique_ptr<Peer>> peers;
+
+ private:
+  void Accept() {
+    this->acceptor.async_accept([this](boost::system::error_code failure,
+                                       Channel::Socket socket) {
+      if (failure) {
+        return;
+      }
+      this->peers.push_back(
+          std::make_unique<Peer>(std::make_shared<Channel>(std::move(socket))));
+      this->peers.back()->channel->ReadTo(this->peers.back().get());
+      this->Accept();
+    });
+  }
+
+  asio::ip::tcp::acceptor acceptor;
+};
+
+/// A relay on loopback sockets and the paused clock.
+class RelayHarness {
+ public:
+  RelayHarness()
+      : relay(runtime.io(), runtime.clock(), protocol, events, "a",
+              {0.2, 100, std::chrono::seconds(10)}, 7),
+        listener(relay) {
+    REQUIRE(this->listener.Listen("127.0.0.1:0").has_value());
+  }
+  ~RelayHarness() {
+    this->listener.StopAccepting();
+    this->listener.CloseAll();
+    this->callers.clear();
+    this->servers.clear();
+    this->runtime.Settle();
+  }
+
+  ScriptedServer& AddServer(std::string id, std::string service = "ledger") {
+    this->servers.push_back(
+        std::make_unique<ScriptedServer>(this->runtime.io()));
+    auto record = MakeRecord(std::move(id), std::move(service));
+    record.address = this->servers.back()->address();
+    this->relay.servers.Put(std::move(record), this->relay.Now());
+    return *this->servers.back();
+  }
+
+  void Configure(std::vector<Route> routes) {
+    DeploymentConfiguration configuration;
+    configuration.version = 1;
+    configuration.routes = std::move(routes);
+    configuration.services["ledger"].name = "ledger";
+    configuration.has_workspaces = true;
+    configuration.workspaces_by_key["k1"].name = "w1";
+    this->relay.in_force =
+        std::make_shared<const ConfigurationInForce>(configuration);
+  }
+
+  Peer& Call(std::string request) {
+    auto channel =
+        std::make_shared<Channel>(Channel::Socket(this->runtime.io()));
+    this->callers.push_back(std::make_unique<Peer>(channel));
+    Peer* caller = this->callers.back().get();
+    channel->Connect({asio::ip::address_v4::loopback(), this->listener.port()},
+                     [caller, request](boost::system::error_code failure) {
+                       REQUIRE_FALSE(failure);
+                       caller->channel->Write(request);
+                       caller->channel->ReadTo(caller);
+                     });
+    return *caller;
+  }
+
+  static std::string Request(std::string path, std::string headers = {}) {
+    return "POST " + path +
+           " HTTP/1.1\r\nHost: shop.example\r\nAttempt: a1\r\nKey: k1\r\n" +
+           headers + "Content-Length: 2\r\n\r\nhi";
+  }
+
+  /// Runs both ends until `done` holds; false if it doesn't within a second.
+  bool Until(const std::function<bool()>& done) {
+    for (int round = 0; round < 4000; ++round) {
+      this->runtime.Settle();
+      if (done()) {
+        return true;
+      }
+      ::usleep(250);
+    }
+    return false;
+  }
+  bool Receives(Peer& peer, const std::string& text) {
+    return this->Until(
+        [&] { return peer.received.find(text) != std::string::npos; });
+  }
+  bool Gets(ScriptedServer& server, int requests) {
+    return this->Until([&] { return server.requests() >= requests; });
+  }
+
+  qp::testing::TestRuntime runtime;
+  NullEventSink events;
+  PlainProtocol protocol;
+  Relay relay;
+  CallerListener listener;
+  std::vector<std::unique_ptr<ScriptedServer>> servers;
+  std::vector<std::unique_ptr<Peer>> callers;
+};
+
+}  // namespace qp::relay::testing
--- /dev/null
+++ b/packages/relay/tests/relay/retry_allowance_test.cc
@@ -0,0 +1,99 @@
+#include "relay/retry_allowance.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <deque>
+
+using namespace qp::relay;
+using qp::TimePoint;
+using std::chrono::milliseconds;
+
+namespace {
+
+RetryAllowance::Bound MakeBound(double ratio, double extra) {
+  return {ratio, extra, std::chrono::seconds(10)};
+}
+
+/// Start of a process that has been running for long.
+const TimePoint kStarted{};
+
+}  // namespace
+
+TEST_CASE("Processes share the fixed part of the bound", "[relay][retries]") {
+  RetryAllowance allowance(MakeBound(0, 100), kStarted);
+  allowance.SetProcesses(10);
+  const TimePoint now{std::chrono::hours(1)};
+  int taken = 0;
+  while (allowance.TryTake("s", now)) {
+    ++taken;
+  }
+  CHECK(taken >= 1);
+  CHECK(taken <= 10);
+}
+
+TEST_CASE("Repeats are allowed again once the window has passed",
+          "[relay][retries]") {
+  RetryAllowance allowance(MakeBound(0, 4), kStarted);
+  const TimePoint start{std::chrono::hours(1)};
+  while (allowance.TryTake("s", start)) {
+  }
+  CHECK_FALSE(allowance.TryTake("s", start + milliseconds(9900)));
+  CHECK(allowance.TryTake("s", start + milliseconds(12100)));
+}
+
+TEST_CASE("Services have bounds of their own", "[relay][retries]") {
+  RetryAllowance allowance(MakeBound(0, 4), kStarted);
+  const TimePoint now{std::chrono::hours(1)};
+  while (allowance.TryTake("s", now)) {
+  }
+  CHECK(allowance.TryTake("t", now));
+}
+
+TEST_CASE("No span of the window's length exceeds the bound",
+          "[relay][retries]") {
+  rc::check("for any times of requests and repeats", [] {
+    const auto bound = MakeBound(0.2, 20);
+    RetryAllowance allowance(bound, kStarted);
+    TimePoint now{std::chrono::hours(1)};
+    std::deque<TimePoint> requests;
+    std::deque<TimePoint> repeats;
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(400, rc::gen::inRange(0, 300));
+    for (const int step : steps) {
+      now += milliseconds(step);
+      if (step % 3 == 0) {
+        allowance.NoteRequest("s", now);
+        requests.push_back(now);
+      } else if (allowance.TryTake("s", now)) {
+        repeats.push_back(now);
+      }
+      const auto count = [now, &bound](const std::deque<TimePoint>& times,
+                                       int windows) {
+        return std::count_if(times.begin(), times.end(), [&](TimePoint at) {
+          return now - at < bound.window * windows;
+        });
+      };
+      // Requests count over the window and the one before it, as the bound
+      // is judged over the busiest of these.
+      RC_ASSERT(count(repeats, 1) <=
+                bound.ratio * count(requests, 2) + bound.extra);
+    }
+  });
+}
+
+TEST_CASE("A process and its earlier incarnation keep the bound together",
+          "[relay][retries]") {
+  const auto bound = MakeBound(0, 100);
+  const TimePoint now{std::chrono::hours(1)};
+  int taken = 0;
+  RetryAllowance before(bound, kStarted);
+  while (before.TryTake("s", now)) {
+    ++taken;
+  }
+  RetryAllowance after(bound, now + milliseconds(10));
+  while (after.TryTake("s", now + milliseconds(20))) {
+    ++taken;
+  }
+  CHECK(taken <= 100);
+}
--- /dev/null
+++ b/packages/relay/tests/relay/route_table_test.cc
@@ -0,0 +1,28 @@
+#include "relay/route_table.h"
+
+#include <catch2/catch.hpp>
+
+#include "relay/configurations.h"
+
+using namespace qp::relay;
+using qp::relay::testing::MakeRoute;
+
+TEST_CASE("The longest prefix of the host decides", "[relay][routes]") {
+  const RouteTable table({MakeRoute("/", Repeat::kNever),
+                          MakeRoute("/a/", Repeat::kNever),
+                          MakeRoute("/a/b/", Repeat::kNever)});
+  CHECK(table.Find("shop.example", "/a/b/c")->prefix == "/a/b/");
+  CHECK(table.Find("shop.example", "/a/b/")->prefix == "/a/b/");
+  CHECK(table.Find("shop.example", "/a/b")->prefix == "/a/");
+  CHECK(table.Find("shop.example", "/a/bc/d")->prefix == "/a/");
+  CHECK(table.Find("shop.example", "/x")->prefix == "/");
+}
+
+TEST_CASE("No route is found for another host or a shorter path",
+          "[relay][routes]") {
+  const RouteTable table({MakeRoute("/a/", Repeat::kNever)});
+  CHECK(table.Find("other.example", "/a/b") == nullptr);
+  CHECK(table.Find("shop.example", "/") == nullptr);
+  CHECK(table.Find("shop.example", "/a") == nullptr);
+  CHECK(table.Find("shop.example", "") == nullptr);
+}
--- /dev/null
+++ b/packages/relay/tests/relay/server_choice_test.cc
@@ -0,0 +1,173 @@
+#include "relay/server_choice.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "relay/configurations.h"
+
+using namespace qp::relay;
+using qp::TimePoint;
+using qp::relay::testing::MakeEngine;
+using qp::relay::testing::MakeProfile;
+using qp::relay::testing::MakeRecord;
+using qp::relay::testing::MakeRoomyProfile;
+
+namespace {
+
+const TimePoint kNow{std::chrono::hours(1)};
+
+ChoiceQuery Query() {
+  ChoiceQuery query;
+  query.availability_zone = "a";
+  query.prompt_tokens = 800;
+  query.output_tokens = 200;
+  return query;
+}
+
+std::optional<Chain> Choose(const std::vector<ServerPtr>& engines,
+                            const ChoiceQuery& query = Query()) {
+  std::mt19937_64 random(7);
+  return ChooseChain(MakeRoomyProfile(), engines, query, kNow, random);
+}
+
+std::vector<std::string> Names(const Chain& chain) {
+  std::vector<std::string> names;
+  for (const auto& stage : chain.stages) {
+    names.push_back(stage.server->record.id);
+  }
+  return names;
+}
+
+ServerPtr Plain(std::string id, std::string zone = "a") {
+  auto server = std::make_shared<Server>();
+  server->record = MakeRecord(std::move(id), "ledger", std::move(zone));
+  return server;
+}
+
+}  // namespace
+
+TEST_CASE("A chain runs each layer once and in order", "[relay][chains]") {
+  rc::check("for any engines", [] {
+    std::vector<ServerPtr> engines;
+    const int count = *rc::gen::inRange(0, 14);
+    for (int index = 0; index < count; ++index) {
+      LayerRange range;
+      range.first = *rc::gen::inRange(0u, 80u);
+      range.end = *rc::gen::inRange(range.first + 1, 81u);
+      auto engine =
+          MakeEngine("e" + std::to_string(index),
+                     *rc::gen::element<std::string>("large", "middle", "small"),
+                     range, *rc::gen::element<std::string>("a", "b"));
+      engine->record.draining = *rc::gen::inRange(0, 5) == 0;
+      if (*rc::gen::inRange(0, 4) == 0) {
+        engine->suspect_until = kNow + std::chrono::seconds(1);
+      }
+      engine->in_flight = *rc::gen::inRange(0u, 60u);
+      engines.push_back(std::move(engine));
+    }
+    const auto chain = Choose(engines);
+    if (!chain) {
+      return;
+    }
+    std::uint32_t next = 0;
+    std::set<std::string> seen;
+    for (const auto& stage : chain->stages) {
+      RC_ASSERT(stage.layers.first == next);
+      RC_ASSERT(!stage.layers.empty());
+      next = stage.layers.end;
+      const LayerRange held = stage.server->record.layers;
+      RC_ASSERT(held.first <= stage.layers.first);
+      RC_ASSERT(stage.layers.end <= held.end);
+      RC_ASSERT(seen.insert(stage.server->record.id).second);
+      RC_ASSERT(stage.server->IsUsable());
+    }
+    RC_ASSERT(next == MakeProfile().layers);
+  });
+}
+
+TEST_CASE("A chain stays inside of a zone where it can", "[relay][chains]") {
+  const auto chain = Choose({MakeEngine("a0", "small", {0, 40}),
+                             MakeEngine("a1", "small", {40, 80}),
+                             MakeEngine("b0", "large", {0, 40}, "b")});
+  REQUIRE(chain);
+  CHECK(Names(*chain) == std::vector<std::string>{"a0", "a1"});
+}
+
+TEST_CASE("A zone without all layers borrows engines of another",
+          "[relay][chains]") {
+  const auto chain = Choose({MakeEngine("a0", "middle", {0, 40}),
+                             MakeEngine("b1", "middle", {40, 80}, "b")});
+  REQUIRE(chain);
+  CHECK(Names(*chain) == std::vector<std::string>{"a0", "b1"});
+}
+
+TEST_CASE("Suspected and excluded engines are passed over", "[relay][chains]") {
+  auto suspect = MakeEngine("fast", "large", {0, 80});
+  const auto slow = MakeEngine("slow", "small", {0, 80});
+  suspect->suspect_until = kNow + std::chrono::seconds(1);
+  CHECK(Names(*Choose({suspect, slow})) == std::vector<std::string>{"slow"});
+  // A suspicion may be wrong: better than no chain at all.
+  CHECK(Names(*Choose({suspect})) == std::vector<std::string>{"fast"});
+  ChoiceQuery query = Query();
+  const std::vector<std::string> excluded = {"slow"};
+  query.excluded = excluded;
+  CHECK_FALSE(Choose({slow}, query));
+}
+
+TEST_CASE("An engine without memory for the request is passed over",
+          "[relay][chains]") {
+  auto full = MakeEngine("full", "large", {0, 32});
+  const auto rest = MakeEngine("rest", "large", {32, 64});
+  const auto last = MakeEngine("last", "large", {48, 80});
+  std::mt19937_64 random(7);
+  const std::vector<ServerPtr> engines = {full, rest, last};
+  CHECK(ChooseChain(MakeProfile(), engines, Query(), kNow, random));
+  // 32 layers leave 16 GB, some 43,000 tokens.
+  SECTION("for its own requests") { full->kv_token_layers = 43000.0 * 32; }
+  SECTION("for those of other processes") {
+    full->peer_kv_token_layers = 43000.0 * 32;
+  }
+  CHECK_FALSE(ChooseChain(MakeProfile(), engines, Query(), kNow, random));
+}
+
+TEST_CASE("Load that others report moves requests to idle engines",
+          "[relay][chains]") {
+  const auto busy = MakeEngine("busy", "middle", {0, 80});
+  const auto idle = MakeEngine("idle", "middle", {0, 80});
+  busy->peer_streams = 60;
+  std::mt19937_64 random(7);
+  const std::vector<ServerPtr> engines = {busy, idle};
+  for (int round = 0; round < 20; ++round) {
+    const auto chain =
+        ChooseChain(MakeRoomyProfile(), engines, Query(), kNow, random);
+    REQUIRE(chain);
+    CHECK(chain->stages.front().server == idle);
+  }
+}
+
+TEST_CASE("A plain server is chosen by load and past failures",
+          "[relay][servers]") {
+  std::mt19937_64 random(7);
+  const auto first = Plain("first");
+  const auto second = Plain("second");
+  const std::vector<ServerPtr> servers = {first, second};
+  SECTION("own requests in flight") { first->in_flight = 4; }
+  SECTION("failures") { first->failure_rate = 0.5; }
+  SECTION("suspicion") {
+    first->suspect_until = kNow + std::chrono::seconds(1);
+  }
+  SECTION("draining") { first->record.draining = true; }
+  SECTION("another zone") { first->record.availability_zone = "b"; }
+  CHECK(ChooseServer(servers, Query(), kNow, random) == second);
+}
+
+TEST_CASE("No plain server is chosen where none is usable",
+          "[relay][servers]") {
+  std::mt19937_64 random(7);
+  const auto gone = Plain("gone");
+  gone->removed_at = kNow;
+  const std::vector<ServerPtr> servers = {gone};
+  CHECK(ChooseServer(servers, Query(), kNow, random) == nullptr);
+}
--- /dev/null
+++ b/packages/relay/tests/relay/server_directory_test.cc
@@ -0,0 +1,79 @@
+#include "relay/server_directory.h"
+
+#include <catch2/catch.hpp>
+
+#include "relay/configurations.h"
+
+using namespace qp::relay;
+using qp::TimePoint;
+using qp::relay::testing::MakeRecord;
+using std::chrono::milliseconds;
+
+namespace {
+
+const TimePoint kNow{std::chrono::hours(1)};
+
+}  // namespace
+
+TEST_CASE("A new incarnation starts with a clean record", "[relay][servers]") {
+  ServerDirectory servers;
+  servers.Put(MakeRecord("s1", "ledger"), kNow);
+  servers.Find("s1")->NoteFailure(kNow);
+  auto record = MakeRecord("s1", "ledger");
+  servers.Put(record, kNow);
+  CHECK(servers.Find("s1")->IsSuspect(kNow));
+  record.incarnation = 2;
+  servers.Put(record, kNow);
+  CHECK_FALSE(servers.Find("s1")->IsSuspect(kNow));
+  CHECK(servers.Of("ledger").size() == 1);
+}
+
+TEST_CASE("A server that moves to another service leaves the first",
+          "[relay][servers]") {
+  ServerDirectory servers;
+  servers.Put(MakeRecord("s1", "ledger"), kNow);
+  servers.Put(MakeRecord("s1", "model"), kNow);
+  CHECK(servers.Of("ledger").empty());
+  CHECK(servers.Of("model").size() == 1);
+}
+
+TEST_CASE("Requests under way see that their server is removed",
+          "[relay][servers]") {
+  ServerDirectory servers;
+  servers.Put(MakeRecord("s1", "ledger"), kNow);
+  const ServerPtr held = servers.Find("s1");
+  servers.Remove("s1", kNow, kNow);
+  CHECK_FALSE(held->IsUsable());
+  CHECK(servers.Of("ledger").empty());
+}
+
+TEST_CASE("An entry that may have lapsed is kept for the grace period",
+          "[relay][servers]") {
+  ServerDirectory servers;
+  servers.Put(MakeRecord("s1", "ledger"), kNow);
+  servers.Remove("s1", kNow, kNow + ServerDirectory::kLapseGrace);
+  servers.Expire(kNow + milliseconds(1999));
+  CHECK(servers.Of("ledger").size() == 1);
+  SECTION("and is gone if it does not return") {
+    servers.Expire(kNow + ServerDirectory::kLapseGrace);
+    CHECK(servers.Of("ledger").empty());
+  }
+  SECTION("and stays if it returns") {
+    servers.Put(MakeRecord("s1", "ledger"), kNow + milliseconds(1000));
+    servers.Expire(kNow + std::chrono::seconds(10));
+    CHECK(servers.Of("ledger").size() == 1);
+  }
+}
+
+TEST_CASE("Suspicion grows with failures in a row and ends with progress",
+          "[relay][servers]") {
+  Server server;
+  server.NoteFailure(kNow);
+  const auto first = server.suspect_until;
+  server.NoteFailure(kNow);
+  CHECK(server.suspect_until > first);
+  server.NoteProgress(kNow);
+  CHECK_FALSE(server.IsSuspect(kNow));
+  server.NoteFailure(kNow);
+  CHECK(server.suspect_until == first);
+}
--- /dev/null
+++ b/packages/relay/tests/relay/store_follower_test.cc
@@ -0,0 +1,264 @@
+#include "relay/store_follower.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+
+#include "relay/relay_harness.h"
+
+using namespace qp;
+using namespace qp::relay;
+using namespace qp::relay::testing;
+
+namespace {
+
+Error Unavailable() { return {ErrorCode::kUnavailable, "read", "store", ""}; }
+Error Gone() { return {ErrorCode::kNotFound, "read", "store", ""}; }
+
+/// Answers from two scripts; without a script entry, nothing has changed.
+class ScriptedStore : public DeploymentStore {
+ public:
+  Task<Result<ConfigurationPage>> ReadConfiguration() override {
+    ++this->whole_configurations;
+    co_return this->Take(this->configurations, this->revision);
+  }
+  Task<Result<ConfigurationPage>> FollowConfiguration(std::uint64_t after,
+                                                      Duration) override {
+    co_return this->Take(this->configurations, after);
+  }
+  Task<Result<ServerPage>> ReadServers() override {
+    ++this->whole_servers;
+    co_return this->Take(this->server_pages, this->revision);
+  }
+  Task<Result<ServerPage>> FollowServers(std::uint64_t after,
+                                         Duration) override {
+    co_return this->Take(this->server_pages, after);
+  }
+
+  std::deque<Result<ConfigurationPage>> configurations;
+  std::deque<Result<ServerPage>> server_pages;
+  std::uint64_t revision = 1;
+  int whole_configurations = 0;
+  int whole_servers = 0;
+
+ private:
+  template <class Page>
+  Result<Page> Take(std::deque<Result<Page>>& script, std::uint64_t after) {
+    if (script.empty()) {
+      Page unchanged;
+      unchanged.revision = after;
+      return unchanged;
+    }
+    Result<Page> next = script.front();
+    script.pop_front();
+    return next;
+  }
+};
+
+ConfigurationPage Version(std::uint64_t version) {
+  ConfigurationPage page;
+  page.revision = version;
+  page.configuration.emplace();
+  page.configuration->version = version;
+  return page;
+}
+
+ServerPage Listed(std::uint64_t revision, std::vector<std::string> ids) {
+  ServerPage page;
+  page.revision = revision;
+  for (auto& id : ids) {
+    page.entries.push_back({id, MakeRecord(id, "ledger"), false});
+  }
+  return page;
+}
+
+ServerPage Removed(std::uint64_t revision, std::string id) {
+  ServerPage page;
+  page.revision = revision;
+  page.entries.push_back({std::move(id), std::nullopt, true});
+  return page;
+}
+
+struct Follower {
+  Follower() : follower(harness.relay, harness.runtime.clock(), store) {}
+  ~Follower() { harness.runtime.io().stop(); }
+
+  void Start() {
+    asio::co_spawn(harness.runtime.io(), follower.FollowServers(),
+                   asio::detached);
+    harness.runtime.Settle();
+  }
+  std::size_t Usable() {
+    harness.relay.servers.Expire(harness.runtime.clock().Now());
+    return harness.relay.servers.Of("ledger").size();
+  }
+  /// Lets the follower look at its servers once more.
+  void Look() {
+    harness.runtime.Advance(StoreFollower::kServerPause +
+                            StoreFollower::kServerSpread);
+  }
+
+  RelayHarness harness;
+  ScriptedStore store;
+  StoreFollower follower;
+};
+
+}  // namespace
+
+TEST_CASE("A removed server is out of use at the next look", "[relay][store]") {
+  Follower world;
+  world.store.server_pages = {Listed(5, {"s1", "s2"}), Removed(6, "s1")};
+  world.Start();
+  CHECK(world.Usable() == 2);
+  world.Look();
+  CHECK(world.Usable() == 1);
+}
+
+TEST_CASE("Entries that vanish with an outage are kept for a while",
+          "[relay][store]") {
+  Follower world;
+  world.store.server_pages = {Listed(5, {"s1", "s2"}), Unavailable(),
+                              Removed(7, "s1")};
+  world.Start();
+  world.Look();
+  world.harness.runtime.Advance(StoreFollower::kFirstPause);
+  CHECK(world.Usable() == 2);
+  world.harness.runtime.Advance(ServerDirectory::kLapseGrace);
+  CHECK(world.Usable() == 1);
+}
+
+TEST_CASE("After its history is gone the whole list is read again",
+          "[relay][store]") {
+  Follower world;
+  world.store.server_pages = {Listed(5, {"s1", "s2"}), Gone(),
+                              Listed(9, {"s2"})};
+  world.Start();
+  world.Look();
+  world.harness.runtime.Advance(StoreFollower::kFirstPause);
+  CHECK(world.store.whole_servers == 2);
+  CHECK(world.Usable() == 1);
+}
+
+TEST_CASE("A list older than the one in use is not taken over",
+          "[relay][store]") {
+  Follower world;
+  world.store.server_pages = {Listed(5, {"s1", "s2"}), Gone(),
+                              Listed(4, {"s1"}), Listed(6, {"s2"})};
+  world.Start();
+  world.Look();
+  world.harness.runtime.Advance(StoreFollower::kFirstPause);
+  CHECK(world.Usable() == 2);
+  world.Look();
+  CHECK(world.Usable() == 1);
+}
+
+TEST_CASE("An entry that names no server to use takes the server out",
+          "[relay][store]") {
+  Follower world;
+  ServerPage forged;
+  forged.revision = 6;
+  forged.entries.push_back({"s1", std::nullopt, false});
+  world.store.server_pages = {Listed(5, {"s1", "s2"}), forged};
+  world.Start();
+  world.Look();
+  CHECK(world.Usable() == 1);
+}
+
+TEST_CASE("A configuration never goes back to an older version",
+          "[relay][store]") {
+  Follower world;
+  world.store.configurations = {Version(3), Version(5), Version(4)};
+  asio::co_spawn(
+      world.harness.runtime.io(),
+      [&]() -> Task<void> {
+        // Each step asks once; the follower would ask for ever.
+        for (int step = 0; step < 3; ++step) {
+          std::ignore = co_await world.follower.StepConfiguration();
+        }
+      },
+      asio::detached);
+  world.harness.runtime.Settle();
+  REQUIRE(world.harness.relay.in_force);
+  CHECK(world.harness.relay.in_force->configuration.version == 5);
+}
+
+namespace {
+
+LoadReport PeerReport(std::uint64_t revision, std::uint32_t age_ms) {
+  LoadReport report;
+  report.node = "peer";
+  report.server_revision = revision;
+  report.server_age_ms = age_ms;
+  return report;
+}
+
+}  // namespace
+
+TEST_CASE("A peer's news take the place of an own look", "[relay][store]") {
+  Follower world;
+  world.store.server_pages = {Listed(5, {"s1", "s2"})};
+  world.Start();
+  LoadReport report = PeerReport(6, 0);
+  report.news = {{5, 6, {{"s1", std::nullopt, true}}}};
+  world.follower.TakeReport(report);
+  CHECK(world.Usable() == 1);
+}
+
+TEST_CASE("News that leave a gap are not used", "[relay][store]") {
+  Follower world;
+  world.store.server_pages = {Listed(5, {"s1", "s2"})};
+  world.Start();
+  LoadReport report = PeerReport(9, 0);
+  report.news = {{7, 9, {{"s1", std::nullopt, true}}}};
+  world.follower.TakeReport(report);
+  CHECK(world.Usable() == 2);
+}
+
+TEST_CASE("A process that hears of recent looks does not look itself",
+          "[relay][store]") {
+  Follower world;
+  world.store.server_pages = {Listed(5, {"s1", "s2"}), Removed(6, "s1")};
+  world.Start();
+  for (int report = 0; report < 20; ++report) {
+    world.follower.TakeReport(PeerReport(5, 50));
+    world.harness.runtime.Advance(milliseconds(150));
+  }
+  CHECK(world.Usable() == 2);
+  // Without reports, or with old ones, it looks again.
+  world.follower.TakeReport(PeerReport(5, 5000));
+  world.Look();
+  CHECK(world.Usable() == 1);
+}
+
+TEST_CASE("A process tells of the changes that it has read", "[relay][store]") {
+  Follower world;
+  ServerPage page = Listed(6, {"s2", "s3"});
+  world.store.server_pages = {Listed(5, {"s1", "s2"}), page};
+  world.Start();
+  world.Look();
+  LoadReport report;
+  world.follower.Describe(report);
+  CHECK(report.server_revision == 6);
+  REQUIRE_FALSE(report.news.empty());
+  const ServerNews& news = report.news.front();
+  CHECK(news.from == 5);
+  CHECK(news.to == 6);
+  // What is as it was is not repeated.
+  REQUIRE(news.entries.size() == 1);
+  CHECK(news.entries.front().id == "s3");
+}
+
+TEST_CASE("A peer with a newer configuration makes this process read it",
+          "[relay][store]") {
+  Follower world;
+  world.store.configurations = {Version(4)};
+  LoadReport report = PeerReport(0, 0);
+  report.configuration_version = 4;
+  world.follower.TakeReport(report);
+  world.harness.runtime.Settle();
+  REQUIRE(world.harness.relay.in_force);
+  CHECK(world.harness.relay.in_force->configuration.version == 4);
+  CHECK(world.store.whole_configurations == 1);
+  world.follower.TakeReport(report);
+  world.harness.runtime.Settle();
+  CHECK(world.store.whole_configurations == 1);
+}
