--- a/packages/foundation/src/foundation/event.cc
+++ b/packages/foundation/src/foundation/event.cc
@@ -118,8 +118,7 @@
               Severity::kWarning,
               "A try of a relayed request failed or fell silent; the fields "
               "say at which step and server."},
-    EventInfo{EventId::kServerSuspected, "server_suspected",
-              Severity::kWarning,
+    EventInfo{EventId::kServerSuspected, "server_suspected", Severity::kWarning,
               "A backend server gets no requests for a while."},
     EventInfo{EventId::kRelayEntryUnreadable, "relay_entry_unreadable",
               Severity::kWarning,
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -466,17 +466,26 @@
 
 void Exchange::SuspectChain(TimePoint since) {
   const TimePoint now = this->relay.Now();
+  std::vector<ServerPtr> silent;
   for (const auto& stage : this->chain->stages) {
     // An engine that others' streams have come through since is sound.
     if (stage.server->last_progress <= since) {
-      stage.server->NoteFailure(now);
-      this->relay.events.Record(
-          EventId::kServerSuspected,
-          {{"server", stage.server->record.id},
-           {"request", this->facts.attempt_id},
-           {"silent_ms", Millis(now - stage.server->last_progress)}});
+      silent.push_back(stage.server);
     }
   }
+  for (const auto& server : silent) {
+    if (silent.size() == 1) {
+      server->NoteFailure(now);
+    } else {
+      server->NoteDoubt(now);
+    }
+    this->relay.events.Record(
+        EventId::kServerSuspected,
+        {{"server", server->record.id},
+         {"request", this->facts.attempt_id},
+         {"others", std::to_string(silent.size() - 1)},
+         {"silent_ms", Millis(now - server->last_progress)}});
+  }
 }
 
 void Exchange::WatchStream() {
--- a/packages/relay/src/relay/layer_plan.cc
+++ b/packages/relay/src/relay/layer_plan.cc
@@ -148,7 +148,7 @@
     PlannedEngine* best = nullptr;
     for (auto& engine : this->members) {
       if (this->CanBeSpared(engine) &&
-          (best == nullptr || this->SizeFor(engine) > this->SizeFor(*best))) {
+          (best == nullptr || this->ClosesBetter(engine, *best, hole))) {
         best = &engine;
       }
     }
@@ -160,6 +160,20 @@
     }
   }
 
+  /// A small engine loads soonest, so the smallest that closes the hole goes
+  /// first, and where none closes it the largest.
+  bool ClosesBetter(const PlannedEngine& engine, const PlannedEngine& best,
+                    LayerRange hole) const {
+    const auto size = this->SizeFor(engine);
+    const auto best_size = this->SizeFor(best);
+    const bool whole = size >= hole.size();
+    const bool best_whole = best_size >= hole.size();
+    if (whole != best_whole) {
+      return whole;
+    }
+    return whole ? size < best_size : size > best_size;
+  }
+
   /// Whether others hold all layers of the engine as well.
   bool CanBeSpared(const PlannedEngine& engine) const {
     return engine.movable && !engine.layers.empty() &&
--- a/packages/relay/src/relay/server.cc
+++ b/packages/relay/src/relay/server.cc
@@ -18,6 +18,10 @@
 /// after three heartbeats, some 4 s.
 constexpr Duration kLongestSuspicion = milliseconds(4000);
 
+/// Time without requests for each engine of a chain that fell silent: one of
+/// them is at fault, and streams through the others clear those again.
+constexpr Duration kDoubt = milliseconds(400);
+
 }  // namespace
 
 void Server::NoteProgress(TimePoint now) {
@@ -47,4 +51,8 @@
       now + std::min(kFirstSuspicion * (1 << doublings), kLongestSuspicion);
 }
 
+void Server::NoteDoubt(TimePoint now) {
+  this->suspect_until = std::max(this->suspect_until, now + kDoubt);
+}
+
 }  // namespace qp::relay
--- a/packages/relay/src/relay/server.h
+++ b/packages/relay/src/relay/server.h
@@ -47,6 +47,9 @@
   void NoteAnswer(TimePoint now, Duration latency, bool good);
   /// Keeps requests away for a time that doubles with each failure in a row.
   void NoteFailure(TimePoint now);
+  /// Keeps requests away for a short time: it may have failed one, or another
+  /// server of the same chain may have.
+  void NoteDoubt(TimePoint now);
 };
 
 using ServerPtr = std::shared_ptr<Server>;
--- a/packages/relay/src/relay/server_choice.cc
+++ b/packages/relay/src/relay/server_choice.cc
@@ -15,9 +15,8 @@
 /// between zones share one pipe.
 constexpr double kZoneHopMs = 6.0;
 /// A chain in another zone must be faster by this factor, as the load there is
-/// known later. Where it is not known at all, it is the last resort.
+/// known later.
 constexpr double kOtherZoneFactor = 3.0;
-constexpr double kUnknownZoneFactor = 1000.0;
 /// Spread of predictions, so that processes with the same view don't all
 /// choose the same chain.
 constexpr double kNoise = 0.15;
@@ -183,7 +182,10 @@
   std::vector<Candidate> candidates;
 };
 
-/// Best chain over the engines given, inside of one zone if possible.
+/// Best chain over the engines given. A chain inside of the own zone goes
+/// first, unless one inside of another zone is faster by far. Without one, the
+/// zones help each other out: engines of the own zone take part as far as they
+/// hold layers, so that the others don't bear the whole load.
 std::optional<Chain> ChooseAmong(const EngineProfile& profile,
                                  std::span<const ServerPtr> engines,
                                  const ChoiceQuery& query,
@@ -193,30 +195,36 @@
     zones.try_emplace(engine->record.availability_zone, profile, query, random)
         .first->second.Add(engine);
   }
-  std::optional<Chain> best;
-  double best_ms = 0;
+  const auto own_search = zones.find(query.availability_zone);
+  auto own =
+      own_search == zones.end() ? std::nullopt : own_search->second.Run();
+  if (!own) {
+    ChainSearch everywhere(profile, query, random);
+    for (const auto& engine : engines) {
+      everywhere.Add(engine);
+    }
+    return everywhere.Run();
+  }
+  if (!query.other_zones_known) {
+    return own;
+  }
+  auto best = std::move(own);
+  const double bound = best->step_ms / kOtherZoneFactor;
   for (auto& [zone, search] : zones) {
-    auto chain = search.Run();
-    if (!chain) {
+    if (zone == query.availability_zone) {
       continue;
     }
-    const double factor =
-        query.other_zones_known ? kOtherZoneFactor : kUnknownZoneFactor;
-    const double total =
-        chain->step_ms * (zone == query.availability_zone ? 1.0 : factor);
-    if (!best || total < best_ms) {
+    auto chain = search.Run();
+    const double best_ms =
+        best->stages.front().server->record.availability_zone ==
+                query.availability_zone
+            ? bound
+            : best->step_ms;
+    if (chain && chain->step_ms < best_ms) {
       best = std::move(chain);
-      best_ms = total;
     }
   }
-  if (best) {
-    return best;
-  }
-  ChainSearch everywhere(profile, query, random);
-  for (const auto& engine : engines) {
-    everywhere.Add(engine);
-  }
-  return everywhere.Run();
+  return best;
 }
 
 }  // namespace
@@ -228,16 +236,16 @@
   std::vector<ServerPtr> trusted;
   std::vector<ServerPtr> usable;
   for (const auto& engine : engines) {
-    if (!engine->IsUsable()) {
+    if (!engine->IsUsable() || IsExcluded(*engine, query)) {
       continue;
     }
     usable.push_back(engine);
-    if (!engine->IsSuspect(now) && !IsExcluded(*engine, query)) {
+    if (!engine->IsSuspect(now)) {
       trusted.push_back(engine);
     }
   }
   auto chain = ChooseAmong(profile, trusted, query, random);
-  if (!chain && trusted.size() < usable.size() && query.excluded.empty()) {
+  if (!chain && trusted.size() < usable.size()) {
     chain = ChooseAmong(profile, usable, query, random);
   }
   return chain;
--- a/packages/storage/src/storage/lease.cc
+++ b/packages/storage/src/storage/lease.cc
@@ -90,7 +90,8 @@
 }
 
 bool Lease::FormerHolderHasStopped() const {
-  return this->clock.Now() - this->seen_since >= this->terms.term + this->terms.margin;
+  return this->clock.Now() - this->seen_since >=
+         this->terms.term + this->terms.margin;
 }
 
 void Lease::NoteExpiry() {
@@ -120,7 +121,8 @@
   if (this->fence == 0) {
     return Duration{0};
   }
-  return std::max(Duration{0}, this->held_until - this->terms.margin - this->clock.Now());
+  return std::max(Duration{0},
+                  this->held_until - this->terms.margin - this->clock.Now());
 }
 
 }  // namespace qp
