Split the exchange and the load report by concern; lint the new tests

Change: answers of servers in exchange_answers.cc, the codec of load reports in load_report, statuses and log texts in one place each. No behaviour changes.

--- a/packages/relay/src/relay/event_splitter.cc
+++ b/packages/relay/src/relay/event_splitter.cc
@@ -40,21 +40,19 @@
 }
 
 std::optional<StreamEvent> EventSplitter::Next() {
+  const std::string_view text = this->buffer;
   while (true) {
-    const auto line_end = this->buffer.find('\n', this->scanned);
-    if (line_end == std::string::npos) {
+    const auto line_end = text.find('\n', this->scanned);
+    if (line_end == std::string_view::npos) {
       return std::nullopt;
     }
-    const std::string_view line =
-        std::string_view(this->buffer)
-            .substr(this->scanned, line_end - this->scanned);
+    const auto line = text.substr(this->scanned, line_end - this->scanned);
     this->scanned = line_end + 1;
     if (!line.empty() && line != "\r") {
       continue;
     }
     StreamEvent event;
-    event.bytes = std::string_view(this->buffer)
-                      .substr(this->begin, this->scanned - this->begin);
+    event.bytes = text.substr(this->begin, this->scanned - this->begin);
     event.id = IdOf(event.bytes);
     this->begin = this->scanned;
     return event;
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -5,6 +5,8 @@
 #include <random>
 #include <utility>
 
+#include "relay/log_text.h"
+
 namespace qp::relay {
 
 namespace {
@@ -19,13 +21,6 @@
 /// A server is told to stop this much before the caller's deadline, so that
 /// its answer or refusal can still be passed on.
 constexpr Duration kDeadlineMargin = milliseconds(10);
-/// Longest wait for the first event of a stream: half as long again as the
-/// latency objective, at least this. Callers leave after four objectives.
-constexpr Duration kLeastFirstEvent = milliseconds(700);
-constexpr double kFirstEventObjectives = 1.6;
-/// Longest silence in a stream. Callers leave after a gap of 2 s; a gap of
-/// 200 ms makes the answer late.
-constexpr Duration kLongestGap = milliseconds(600);
 /// Time after which a caller who was refused should come back: the model is
 /// covered again some 2 s after an engine is lost, plain servers sooner.
 constexpr Duration kRetryStream = milliseconds(1500);
@@ -36,29 +31,6 @@
 /// Neutral urgency of a request at an engine.
 constexpr int kDefaultUrgency = 5;
 
-std::string ChainText(const std::optional<Chain>& chain) {
-  std::string text;
-  if (chain) {
-    for (const auto& stage : chain->stages) {
-      text += (text.empty() ? "" : " ") + stage.server->record.id + "=" +
-              std::to_string(stage.layers.first) + "-" +
-              std::to_string(stage.layers.end);
-    }
-  }
-  return text;
-}
-
-std::string Millis(Duration duration) {
-  return std::to_string(
-      std::chrono::duration_cast<milliseconds>(duration).count());
-}
-
-bool IsRefusal(unsigned status) {
-  return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
-bool IsSuccess(unsigned status) { return status >= 200 && status < 300; }
-
 }  // namespace
 
 Exchange::Exchange(Relay& shared, http::Request received, TimePoint at,
@@ -252,188 +224,6 @@
                  fresh, this->request.method() == http::Verb::head);
 }
 
-void Exchange::OnResponse(ResponseHead received) {
-  const ResponseFacts& answer = received.facts;
-  if (answer.running) {
-    this->server->reported_busy = *answer.running + answer.waiting.value_or(0);
-    this->server->reported_at = this->relay.Now();
-  }
-  this->head = std::move(received);
-}
-
-void Exchange::OnBody(std::string_view bytes) {
-  const bool is_stream = this->route->streaming &&
-                         this->head->facts.is_signed &&
-                         IsSuccess(this->head->status);
-  if (!is_stream) {
-    this->body.append(bytes);
-    return;
-  }
-  this->splitter.Append(bytes);
-  this->HandleEvents();
-}
-
-void Exchange::HandleEvents() {
-  std::string chunk;
-  while (auto event = this->splitter.Next()) {
-    if (event->id && this->last_event_id &&
-        *event->id <= *this->last_event_id) {
-      continue;
-    }
-    if (event->id) {
-      this->last_event_id = event->id;
-    }
-    chunk.append(event->bytes);
-  }
-  if (chunk.empty()) {
-    return;
-  }
-  const TimePoint now = this->relay.Now();
-  this->last_event_at = now;
-  if (!std::exchange(this->try_has_events, true)) {
-    this->WatchStream();
-  }
-  for (const auto& stage :
-       this->chain ? this->chain->stages : std::vector<ChainStage>{}) {
-    stage.server->NoteProgress(now);
-  }
-  this->BeginStream();
-  this->sink.Write(WriteChunk(chunk));
-}
-
-void Exchange::BeginStream() {
-  if (std::exchange(this->stream_begun, true)) {
-    return;
-  }
-  this->relay.metrics.Observe("quetzalpost_first_event_seconds",
-                              this->relay.Now() - this->arrived);
-  this->sink.Write(WriteChunkedHead(this->head->status, this->head->headers,
-                                    this->sink.keeps_open()));
-}
-
-void Exchange::OnComplete() {
-  const bool is_stream = this->route->streaming &&
-                         this->head->facts.is_signed &&
-                         IsSuccess(this->head->status);
-  if (is_stream) {
-    this->CompleteStream();
-  } else {
-    this->CompletePlain();
-  }
-}
-
-void Exchange::CompleteStream() {
-  if (this->splitter.has_partial_event()) {
-    this->EndTry(false);
-    this->FailTry(true, "the stream ended inside of an event");
-    return;
-  }
-  this->EndTry(true);
-  this->BeginStream();
-  this->sink.Write(kLastChunk);
-  this->NoteFinished("served", "");
-  this->sink.Finish();
-}
-
-void Exchange::CompletePlain() {
-  const unsigned status = this->head->status;
-  const bool not_executed =
-      status == 421 || (IsRefusal(status) && this->head->facts.not_executed) ||
-      (status == 400 && this->head->facts.not_executed);
-  if (not_executed) {
-    const auto& failed = this->head->facts.failed_address;
-    const ServerPtr culprit =
-        failed.empty() ? nullptr : this->relay.servers.FindByAddress(failed);
-    const ServerPtr refuser = culprit != nullptr ? culprit : this->server;
-    this->EndTry(true);
-    this->NoteRefusal(*refuser, status);
-    this->excluded.push_back(refuser->record.id);
-    this->FailTry(false, "refused with " + std::to_string(status));
-    return;
-  }
-  const bool success = IsSuccess(status);
-  if (success && !this->head->facts.is_signed) {
-    this->EndTry(false);
-    this->excluded.push_back(this->server->record.id);
-    this->FailTry(true, "the answer is not signed");
-    return;
-  }
-  this->EndTry(status < 500);
-  const bool retry = status >= 500 && this->MayRepeat();
-  if (retry && this->tries_run + 1 < this->route->max_attempts) {
-    this->excluded.push_back(this->server->record.id);
-    this->FailTry(true, "failed with " + std::to_string(status));
-    return;
-  }
-  this->ForwardAnswer();
-}
-
-void Exchange::NoteRefusal(Server& refuser, unsigned status) {
-  if (this->chain) {
-    // It is full or gone; either takes a while to change.
-    refuser.NoteFailure(this->relay.Now());
-  }
-  this->relay.events.Record(
-      EventId::kRelayAttemptFailed,
-      {{"request", this->facts.attempt_id},
-       {"peer", refuser.record.id},
-       {"step", "upstream.refused"},
-       {"status", std::to_string(status)},
-       {"streams", std::to_string(refuser.in_flight)},
-       {"peer_streams", std::to_string(refuser.peer_streams)},
-       {"kv_token_layers",
-        std::to_string(static_cast<std::int64_t>(
-            refuser.kv_token_layers + refuser.peer_kv_token_layers))},
-       {"layers", std::to_string(refuser.record.layers.size())},
-       {"accelerator", refuser.record.accelerator}});
-}
-
-void Exchange::ForwardAnswer() {
-  if (this->stream_begun) {
-    this->NoteFinished("aborted", "the stream could not be resumed");
-    this->sink.Abort();
-    return;
-  }
-  const unsigned status = this->head->status;
-  if (IsRefusal(status)) {
-    // Only a server that says so has not run the request.
-    this->Refuse({502, "the server failed", std::nullopt});
-    return;
-  }
-  this->sink.Write(WriteResponse(status, this->head->headers, this->body,
-                                 this->sink.keeps_open()));
-  this->NoteFinished(IsSuccess(status) ? "served" : "server_failed",
-                     std::to_string(status));
-  this->sink.Finish();
-}
-
-void Exchange::OnFailure(CallFailure failure) {
-  this->EndTry(false);
-  const ServerPtr target = this->server;
-  this->relay.events.Record(EventId::kRelayAttemptFailed,
-                            {{"request", this->facts.attempt_id},
-                             {"peer", target->record.id},
-                             {"step", failure.error.step},
-                             {"detail", failure.error.detail},
-                             {"tries", std::to_string(this->tries)}});
-  if (!failure.was_reused) {
-    if (this->chain && failure.may_have_run) {
-      this->SuspectChain(this->last_event_at);
-    } else {
-      target->NoteFailure(this->relay.Now());
-    }
-    this->excluded.push_back(target->record.id);
-  }
-  if (failure.was_reused) {
-    // The server had closed the connection; the next try takes another one.
-    this->may_have_run = true;
-    this->last_failure = failure.error.detail;
-    this->TryServers();
-    return;
-  }
-  this->FailTry(failure.may_have_run, failure.error.detail);
-}
-
 void Exchange::EndTry(bool good) {
   const TimePoint now = this->relay.Now();
   const double tokens = this->facts.prompt_tokens + this->facts.output_tokens;
@@ -464,65 +254,6 @@
   this->TryServers();
 }
 
-void Exchange::SuspectChain(TimePoint since) {
-  const TimePoint now = this->relay.Now();
-  std::vector<ServerPtr> silent;
-  for (const auto& stage : this->chain->stages) {
-    // An engine that others' streams have come through since is sound.
-    if (stage.server->last_progress <= since) {
-      silent.push_back(stage.server);
-    }
-  }
-  for (const auto& server : silent) {
-    if (silent.size() == 1) {
-      server->NoteFailure(now);
-    } else {
-      server->NoteDoubt(now);
-    }
-    this->relay.events.Record(
-        EventId::kServerSuspected,
-        {{"server", server->record.id},
-         {"request", this->facts.attempt_id},
-         {"others", std::to_string(silent.size() - 1)},
-         {"silent_ms", Millis(now - server->last_progress)}});
-  }
-}
-
-void Exchange::WatchStream() {
-  const bool begun = this->try_has_events;
-  const Duration first_bound =
-      std::max(kLeastFirstEvent,
-               std::chrono::duration_cast<Duration>(
-                   this->route->latency_objective * kFirstEventObjectives));
-  this->stream_timer.Start(
-      this->last_event_at + (begun ? kLongestGap : first_bound),
-      [this] { this->CheckStream(); });
-}
-
-void Exchange::CheckStream() {
-  const bool begun = this->try_has_events;
-  if (begun && this->relay.Now() - this->last_event_at < kLongestGap) {
-    this->WatchStream();
-    return;
-  }
-  if (!this->MayRepeat() || this->tries_run + 1 >= this->route->max_attempts) {
-    return;  // The deadline ends it.
-  }
-  const auto silent = this->call;
-  this->relay.events.Record(
-      EventId::kRelayAttemptFailed,
-      {{"request", this->facts.attempt_id},
-       {"chain", ChainText(this->chain)},
-       {"step", begun ? "stream.next_event" : "stream.first_event"},
-       {"silent_ms", Millis(this->relay.Now() - this->last_event_at)}});
-  silent->Cancel();
-  if (this->chain) {
-    this->SuspectChain(this->last_event_at);
-  }
-  this->EndTry(false);
-  this->FailTry(true, "the stream fell silent");
-}
-
 void Exchange::TimeOut() {
   this->last_failure = "the deadline has passed";
   if (this->call != nullptr) {
@@ -591,7 +322,7 @@
        {"server", this->server == nullptr ? "" : this->server->record.id},
        {"chain", ChainText(this->chain)},
        {"tries", std::to_string(this->tries)},
-       {"ms", Millis(now - this->arrived)}});
+       {"ms", MillisText(now - this->arrived)}});
 }
 
 }  // namespace qp::relay
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -55,6 +55,8 @@
   void TryServers();
   bool ChooseTarget();
   void SendTo(const ServerPtr& server);
+  /// Whether the answer under way is a stream of events to be passed on.
+  bool IsStream() const;
   void HandleEvents();
   void BeginStream();
   void CompleteStream();
--- a/packages/relay/src/relay/load_exchange.h
+++ b/packages/relay/src/relay/load_exchange.h
@@ -11,45 +11,11 @@
 #include "foundation/asio.h"
 #include "foundation/clock.h"
 #include "foundation/error.h"
-#include "relay/deployment_store.h"
+#include "relay/load_report.h"
 #include "relay/relay.h"
 
 namespace qp::relay {
 
-/// Load that one process puts on one backend server.
-struct ServerLoad {
-  std::string server;
-  std::uint32_t streams = 0;
-  double kv_token_layers = 0;
-
-  bool operator==(const ServerLoad&) const = default;
-};
-
-/// Changes of the list of servers that one look at the store has shown.
-struct ServerNews {
-  std::uint64_t from = 0;  ///< Revision that the changes follow.
-  std::uint64_t to = 0;
-  std::vector<ServerEntry> entries;
-};
-
-/// What one process tells the others.
-struct LoadReport {
-  std::string node;
-  std::string availability_zone;
-  std::int64_t incarnation = 0;  ///< Grows with each start of the node.
-  std::uint64_t number = 0;      ///< Grows with each report of an incarnation.
-  std::vector<ServerLoad> loads;
-  std::uint64_t configuration_version = 0;
-  bool holds_lease = false;
-  std::uint64_t server_revision = 0;  ///< Of the list of servers in use.
-  std::uint32_t server_age_ms = 0;    ///< Since that was true of the store.
-  std::vector<ServerNews> news;       ///< Latest, oldest first.
-};
-
-std::string EncodeLoadReport(const LoadReport& report);
-/// kProtocol if the bytes are no report.
-Result<LoadReport> DecodeLoadReport(std::string_view bytes);
-
 /// Latest report of each peer, added up by server.
 class PeerLoads {
  public:
--- /dev/null
+++ b/packages/relay/src/relay/load_report.cc
@@ -0,0 +1,175 @@
+#include "relay/load_report.h"
+
+#include <msgpack.hpp>
+#include <span>
+#include <utility>
+
+namespace qp::relay {
+
+namespace {
+
+/// First member of each report; other datagrams are dropped.
+constexpr std::uint32_t kReportFormat = 2;
+
+/// Members of the arrays of a report.
+constexpr std::size_t kReportMembers = 11;
+constexpr std::size_t kLoadMembers = 3;
+constexpr std::size_t kNewsMembers = 3;
+constexpr std::size_t kEntryMembers = 3;
+constexpr std::size_t kRecordMembers = 9;
+
+using Packer = msgpack::packer<msgpack::sbuffer>;
+
+Error Malformed(std::string detail) {
+  return Error{ErrorCode::kProtocol, "load.decode", "", std::move(detail)};
+}
+
+/// Elements of an array; throws on anything else.
+std::span<const msgpack::object> ElementsOf(const msgpack::object& object) {
+  if (object.type != msgpack::type::ARRAY) {
+    throw msgpack::type_error();
+  }
+  return {object.via.array.ptr, object.via.array.size};
+}
+
+std::span<const msgpack::object> ElementsOf(const msgpack::object& object,
+                                            std::size_t count) {
+  const auto elements = ElementsOf(object);
+  if (elements.size() != count) {
+    throw msgpack::type_error();
+  }
+  return elements;
+}
+
+ServerLoad LoadOf(const msgpack::object& object) {
+  const auto members = ElementsOf(object, kLoadMembers);
+  return {members[0].as<std::string>(), members[1].as<std::uint32_t>(),
+          members[2].as<double>()};
+}
+
+void Pack(Packer& packer, const ServerRecord& record) {
+  packer.pack_array(kRecordMembers);
+  packer.pack(record.service);
+  packer.pack(record.address);
+  packer.pack(record.availability_zone);
+  packer.pack(record.slots);
+  packer.pack(record.draining);
+  packer.pack(record.incarnation);
+  packer.pack(record.accelerator);
+  packer.pack(record.layers.first);
+  packer.pack(record.layers.end);
+}
+
+ServerRecord RecordOf(const msgpack::object& object) {
+  const auto members = ElementsOf(object, kRecordMembers);
+  ServerRecord record;
+  record.service = members[0].as<std::string>();
+  record.address = members[1].as<std::string>();
+  record.availability_zone = members[2].as<std::string>();
+  record.slots = members[3].as<std::uint32_t>();
+  record.draining = members[4].as<bool>();
+  record.incarnation = members[5].as<std::int64_t>();
+  record.accelerator = members[6].as<std::string>();
+  record.layers = {members[7].as<std::uint32_t>(),
+                   members[8].as<std::uint32_t>()};
+  return record;
+}
+
+void Pack(Packer& packer, const ServerNews& news) {
+  packer.pack_array(kNewsMembers);
+  packer.pack(news.from);
+  packer.pack(news.to);
+  packer.pack_array(static_cast<std::uint32_t>(news.entries.size()));
+  for (const auto& entry : news.entries) {
+    packer.pack_array(kEntryMembers);
+    packer.pack(entry.id);
+    packer.pack(entry.removed);
+    if (entry.record) {
+      Pack(packer, *entry.record);
+    } else {
+      packer.pack_nil();
+    }
+  }
+}
+
+ServerNews NewsOf(const msgpack::object& object) {
+  const auto members = ElementsOf(object, kNewsMembers);
+  ServerNews news;
+  news.from = members[0].as<std::uint64_t>();
+  news.to = members[1].as<std::uint64_t>();
+  for (const auto& element : ElementsOf(members[2])) {
+    const auto parts = ElementsOf(element, kEntryMembers);
+    ServerEntry entry;
+    entry.id = parts[0].as<std::string>();
+    entry.removed = parts[1].as<bool>();
+    if (!parts[2].is_nil()) {
+      entry.record = RecordOf(parts[2]);
+      entry.record->id = entry.id;
+    }
+    news.entries.push_back(std::move(entry));
+  }
+  return news;
+}
+
+LoadReport ReportOf(const msgpack::object& object) {
+  const auto members = ElementsOf(object, kReportMembers);
+  if (members[0].as<std::uint32_t>() != kReportFormat) {
+    throw msgpack::type_error();
+  }
+  LoadReport report;
+  report.node = members[1].as<std::string>();
+  report.availability_zone = members[2].as<std::string>();
+  report.incarnation = members[3].as<std::int64_t>();
+  report.number = members[4].as<std::uint64_t>();
+  for (const auto& load : ElementsOf(members[5])) {
+    report.loads.push_back(LoadOf(load));
+  }
+  report.configuration_version = members[6].as<std::uint64_t>();
+  report.holds_lease = members[7].as<bool>();
+  report.server_revision = members[8].as<std::uint64_t>();
+  report.server_age_ms = members[9].as<std::uint32_t>();
+  for (const auto& news : ElementsOf(members[10])) {
+    report.news.push_back(NewsOf(news));
+  }
+  return report;
+}
+
+}  // namespace
+
+std::string EncodeLoadReport(const LoadReport& report) {
+  msgpack::sbuffer bytes;
+  Packer packer(bytes);
+  packer.pack_array(kReportMembers);
+  packer.pack(kReportFormat);
+  packer.pack(report.node);
+  packer.pack(report.availability_zone);
+  packer.pack(report.incarnation);
+  packer.pack(report.number);
+  packer.pack_array(static_cast<std::uint32_t>(report.loads.size()));
+  for (const auto& load : report.loads) {
+    packer.pack_array(kLoadMembers);
+    packer.pack(load.server);
+    packer.pack(load.streams);
+    packer.pack(load.kv_token_layers);
+  }
+  packer.pack(report.configuration_version);
+  packer.pack(report.holds_lease);
+  packer.pack(report.server_revision);
+  packer.pack(report.server_age_ms);
+  packer.pack_array(static_cast<std::uint32_t>(report.news.size()));
+  for (const auto& news : report.news) {
+    Pack(packer, news);
+  }
+  return {bytes.data(), bytes.size()};
+}
+
+Result<LoadReport> DecodeLoadReport(std::string_view bytes) {
+  try {
+    const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+    return ReportOf(handle.get());
+  } catch (const std::exception& failure) {
+    return Malformed(failure.what());
+  }
+}
+
+}  // namespace qp::relay
--- a/packages/relay/src/relay/upstream_call.cc
+++ b/packages/relay/src/relay/upstream_call.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "http/endpoint.h"
+#include "relay/status.h"
 
 namespace qp::relay {
 
@@ -14,8 +15,6 @@
 /// Largest head of an answer; servers answer with a dozen short headers.
 constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
 
-bool IsSuccess(unsigned status) { return status >= 200 && status < 300; }
-
 }  // namespace
 
 UpstreamCall::UpstreamCall(asio::io_context& context, TimerQueue& queue,
--- a/packages/relay/tests/relay/caller_session_test.cc
+++ b/packages/relay/tests/relay/caller_session_test.cc
@@ -4,8 +4,7 @@
 
 #include "relay/relay_harness.h"
 
-using namespace qp::relay;
-using namespace qp::relay::testing;
+namespace qp::relay::testing {
 
 namespace {
 
@@ -106,3 +105,5 @@
   CHECK(harness.Until([&] { return idle.ended; }));
   CHECK_FALSE(busy.ended);
 }
+
+}  // namespace qp::relay::testing
--- a/packages/relay/tests/relay/event_splitter_test.cc
+++ b/packages/relay/tests/relay/event_splitter_test.cc
@@ -4,7 +4,7 @@
 
 #include <catch2/catch.hpp>
 
-using namespace qp::relay;
+namespace qp::relay::testing {
 
 TEST_CASE("Whole events come out with their ids", "[relay][events]") {
   EventSplitter splitter;
@@ -50,7 +50,7 @@
     std::uint64_t expected = 0;
     for (std::size_t at = 0; at < stream.size();) {
       const auto size = *rc::gen::inRange<std::size_t>(1, 12);
-      splitter.Append(std::string_view(stream).substr(at, size));
+      splitter.Append(stream.substr(at, size));
       at += size;
       while (const auto event = splitter.Next()) {
         RC_ASSERT(event->id == expected++);
@@ -60,3 +60,5 @@
     RC_ASSERT(joined == stream);
   });
 }
+
+}  // namespace qp::relay::testing
--- a/packages/relay/tests/relay/exchange_test.cc
+++ b/packages/relay/tests/relay/exchange_test.cc
@@ -4,8 +4,7 @@
 
 #include "relay/relay_harness.h"
 
-using namespace qp::relay;
-using namespace qp::relay::testing;
+namespace qp::relay::testing {
 
 namespace {
 
@@ -348,3 +347,5 @@
   CHECK(pair.other->requests() == 0);
   CHECK_FALSE(caller.ended);
 }
+
+}  // namespace qp::relay::testing
--- a/packages/relay/tests/relay/layer_keeper_test.cc
+++ b/packages/relay/tests/relay/layer_keeper_test.cc
@@ -7,9 +7,7 @@
 #include "relay/relay_harness.h"
 #include "storage/table.h"
 
-using namespace qp;
-using namespace qp::relay;
-using namespace qp::relay::testing;
+namespace qp::relay::testing {
 
 namespace {
 
@@ -171,3 +169,5 @@
   world.Run(LayerKeeper::kOrderSlack);
   CHECK(world.engines.orders.size() == 4);
 }
+
+}  // namespace qp::relay::testing
--- a/packages/relay/tests/relay/layer_plan_test.cc
+++ b/packages/relay/tests/relay/layer_plan_test.cc
@@ -7,8 +7,7 @@
 
 #include "relay/configurations.h"
 
-using namespace qp::relay;
-using qp::relay::testing::MakeProfile;
+namespace qp::relay::testing {
 
 namespace {
 
@@ -149,3 +148,5 @@
     }
   });
 }
+
+}  // namespace qp::relay::testing
--- a/packages/relay/tests/relay/load_exchange_test.cc
+++ b/packages/relay/tests/relay/load_exchange_test.cc
@@ -6,9 +6,7 @@
 
 #include "relay/configurations.h"
 
-using namespace qp::relay;
-using qp::TimePoint;
-using qp::relay::testing::MakeRecord;
+namespace qp::relay::testing {
 
 namespace {
 
@@ -81,3 +79,5 @@
   loads.Apply(servers);
   CHECK(servers.Find("s1")->peer_streams == 8);
 }
+
+}  // namespace qp::relay::testing
--- a/packages/relay/tests/relay/relay_harness.h
+++ b/packages/relay/tests/relay/relay_harness.h
@@ -16,6 +16,12 @@
 
 namespace qp::relay::testing {
 
+/// Copy of a Boost string view.
+template <class View>
+std::string Text(const View& view) {
+  return std::string(view.data(), view.size());
+}
+
 /// Headers with names of the tests' own.
 class PlainProtocol : public Protocol {
  public:
@@ -34,8 +40,8 @@
 
   std::string WriteRequest(const http::Request& request,
                            const ForwardFacts& facts) const override {
-    std::string text = std::string(request.method_string()) + " " +
-                       std::string(request.target()) + " HTTP/1.1\r\n";
+    std::string text = Text(request.method_string()) + " " +
+                       Text(request.target()) + " HTTP/1.1\r\n";
     text += "Attempt: " + std::string(http::HeaderOr(request, "Attempt")) +
             "\r\nServer: " + std::string(facts.server_id) +
             "\r\nWorkspace: " + std::string(facts.workspace) + "\r\n";
@@ -51,8 +57,7 @@
     ResponseFacts facts;
     const auto value = [&headers](const char* name) {
       const auto found = headers.find(name);
-      return found == headers.end() ? std::string()
-                                    : std::string(found->value());
+      return found == headers.end() ? std::string() : Text(found->value());
     };
     facts.attempt_id = value("Attempt");
     facts.is_signed = !value("Signature").empty();
@@ -81,7 +86,7 @@
 /// A backend server whose answers the test writes by hand.
 class ScriptedServer {
  public:
-  ScriptedServer(asio::io_context& io)
+  explicit ScriptedServer(asio::io_context& io)
       : acceptor(io, {asio::ip::address_v4::loopback(), 0}) {
     this->Accept();
   }
--- a/packages/relay/tests/relay/retry_allowance_test.cc
+++ b/packages/relay/tests/relay/retry_allowance_test.cc
@@ -5,8 +5,8 @@
 #include <catch2/catch.hpp>
 #include <deque>
 
-using namespace qp::relay;
-using qp::TimePoint;
+namespace qp::relay::testing {
+
 using std::chrono::milliseconds;
 
 namespace {
@@ -97,3 +97,5 @@
   }
   CHECK(taken <= 100);
 }
+
+}  // namespace qp::relay::testing
--- a/packages/relay/tests/relay/route_table_test.cc
+++ b/packages/relay/tests/relay/route_table_test.cc
@@ -4,8 +4,7 @@
 
 #include "relay/configurations.h"
 
-using namespace qp::relay;
-using qp::relay::testing::MakeRoute;
+namespace qp::relay::testing {
 
 TEST_CASE("The longest prefix of the host decides", "[relay][routes]") {
   const RouteTable table({MakeRoute("/", Repeat::kNever),
@@ -26,3 +25,5 @@
   CHECK(table.Find("shop.example", "/a") == nullptr);
   CHECK(table.Find("shop.example", "") == nullptr);
 }
+
+}  // namespace qp::relay::testing
--- a/packages/relay/tests/relay/server_choice_test.cc
+++ b/packages/relay/tests/relay/server_choice_test.cc
@@ -7,12 +7,7 @@
 
 #include "relay/configurations.h"
 
-using namespace qp::relay;
-using qp::TimePoint;
-using qp::relay::testing::MakeEngine;
-using qp::relay::testing::MakeProfile;
-using qp::relay::testing::MakeRecord;
-using qp::relay::testing::MakeRoomyProfile;
+namespace qp::relay::testing {
 
 namespace {
 
@@ -171,3 +166,5 @@
   const std::vector<ServerPtr> servers = {gone};
   CHECK(ChooseServer(servers, Query(), kNow, random) == nullptr);
 }
+
+}  // namespace qp::relay::testing
--- a/packages/relay/tests/relay/server_directory_test.cc
+++ b/packages/relay/tests/relay/server_directory_test.cc
@@ -4,9 +4,8 @@
 
 #include "relay/configurations.h"
 
-using namespace qp::relay;
-using qp::TimePoint;
-using qp::relay::testing::MakeRecord;
+namespace qp::relay::testing {
+
 using std::chrono::milliseconds;
 
 namespace {
@@ -77,3 +76,5 @@
   server.NoteFailure(kNow);
   CHECK(server.suspect_until == first);
 }
+
+}  // namespace qp::relay::testing
--- a/packages/relay/tests/relay/store_follower_test.cc
+++ b/packages/relay/tests/relay/store_follower_test.cc
@@ -5,9 +5,7 @@
 
 #include "relay/relay_harness.h"
 
-using namespace qp;
-using namespace qp::relay;
-using namespace qp::relay::testing;
+namespace qp::relay::testing {
 
 namespace {
 
@@ -300,3 +298,5 @@
   CHECK(world.store.whole_configurations >= 1);
   CHECK(world.store.whole_configurations <= 3);
 }
+
+}  // namespace qp::relay::testing
