Don't take a caller's leaving for a good answer

Cause: Exchange::Cancel ended its try as a good one, and the destructor as a bad one. On a plain service a caller who left so cleared the suspicion of a server that never answers, and its failure rate fell with each such caller. Ruled out: the deadline path, which already noted a failure.

Change: releasing the load of a try and noting its outcome are separate. An abandoned try notes nothing, or a failure if the answer was overdue by the route's latency objective.

--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -42,12 +42,7 @@
       deadline_timer(shared.timers),
       stream_timer(shared.timers) {}
 
-Exchange::~Exchange() {
-  if (this->call != nullptr) {
-    this->call->Cancel();
-    this->EndTry(false);
-  }
-}
+Exchange::~Exchange() { this->AbandonTry(); }
 
 void Exchange::Start() {
   this->facts = this->relay.protocol.ReadRequest(this->request);
@@ -58,10 +53,7 @@
 }
 
 void Exchange::Cancel() {
-  if (this->call != nullptr) {
-    this->call->Cancel();
-    this->EndTry(true);
-  }
+  this->AbandonTry();
   this->NoteFinished("caller_left", "");
 }
 
@@ -224,8 +216,29 @@
                  fresh, this->request.method() == http::Verb::head);
 }
 
+void Exchange::AbandonTry() {
+  if (this->call == nullptr) {
+    return;
+  }
+  this->call->Cancel();
+  const bool overdue = !this->head && this->relay.Now() - this->try_began >
+                                          this->route->latency_objective;
+  if (overdue) {
+    this->EndTry(false);
+  } else {
+    this->ReleaseTry();
+  }
+}
+
 void Exchange::EndTry(bool good) {
-  const TimePoint now = this->relay.Now();
+  if (!this->chain && this->server != nullptr) {
+    const TimePoint now = this->relay.Now();
+    this->server->NoteAnswer(now, now - this->try_began, good);
+  }
+  this->ReleaseTry();
+}
+
+void Exchange::ReleaseTry() {
   const double tokens = this->facts.prompt_tokens + this->facts.output_tokens;
   if (this->chain) {
     for (const auto& stage : this->chain->stages) {
@@ -235,7 +248,6 @@
     }
   } else if (this->server != nullptr) {
     this->server->in_flight -= this->server->in_flight > 0 ? 1 : 0;
-    this->server->NoteAnswer(now, now - this->try_began, good);
   }
   this->call = nullptr;
   this->stream_timer.Cancel();
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -65,6 +65,11 @@
   void ForwardAnswer();
   /// Ends the try under way and accounts for its outcome.
   void EndTry(bool good);
+  /// The same where nobody waits for the answer any more. That says nothing
+  /// about the server unless its answer was overdue.
+  void AbandonTry();
+  /// Takes the load of the try off its servers.
+  void ReleaseTry();
   void FailTry(bool may_have_run, std::string_view why);
   void SuspectChain(TimePoint since);
   void WatchStream();
--- a/packages/relay/tests/relay/exchange_test.cc
+++ b/packages/relay/tests/relay/exchange_test.cc
@@ -249,6 +249,31 @@
   CHECK(harness.relay.servers.Find("s1")->in_flight == 0);
 }
 
+TEST_CASE("A caller who leaves says nothing good about the server",
+          "[relay][exchange]") {
+  RelayHarness harness;
+  harness.Configure({MakeRoute("/a/", Repeat::kAlways)});
+  auto& server = harness.AddServer("s1");
+  const ServerPtr known = harness.relay.servers.Find("s1");
+  known->NoteFailure(harness.relay.Now());
+  const double failure_rate = known->failure_rate;
+  Peer& caller = harness.Call(RelayHarness::Request("/a/x"));
+  REQUIRE(harness.Gets(server, 1));
+  SECTION("before an answer was due") {
+    caller.channel->Close();
+    REQUIRE(harness.Until([&] { return server.last().ended; }));
+    CHECK(known->failure_rate == failure_rate);
+  }
+  SECTION("after the answer was due") {
+    harness.runtime.Advance(milliseconds(400));
+    caller.channel->Close();
+    REQUIRE(harness.Until([&] { return server.last().ended; }));
+    CHECK(known->failure_rate > failure_rate);
+  }
+  CHECK(known->IsSuspect(harness.relay.Now()));
+  CHECK(known->failures_in_row == 1);
+}
+
 TEST_CASE("A request is answered when its time is up", "[relay][exchange]") {
   RelayHarness harness;
   harness.Configure({MakeRoute("/a/", Repeat::kNever)});
