Keep requests away from engines that refuse, and tell the zone

Cause: an engine that refuses (full, or draining while the store is away) kept being chosen. Its refusal only made it suspect, and each event of a stream that still ran through it cleared the suspicion. Each process also learned of it for itself.

Ruled out: engines short of slots (50 to 100 streams of 192), dead engines (streams went on through them).

Change: refusals have a time of their own, 300 ms doubled to 4.8 s, which ends when a request sent after the refusal has begun to run there. Refusals that come from requests already on their way don't double it. Load reports carry them to the processes of the zone, for at most 4.8 s.

Tests: server_test.cc, load_exchange_test.cc; the old behaviour fails "Events of running streams don't end a refusal".

What refuses next are engines of zones whose load a process of another zone does not know.

--- a/packages/relay/src/relay/exchange_answers.cc
+++ b/packages/relay/src/relay/exchange_answers.cc
@@ -64,12 +64,16 @@
   }
   const TimePoint now = this->relay.Now();
   this->last_event_at = now;
-  if (!std::exchange(this->try_has_events, true)) {
+  const bool first = !std::exchange(this->try_has_events, true);
+  if (first) {
     this->WatchStream();
   }
   for (const auto& stage :
        this->chain ? this->chain->stages : std::vector<ChainStage>{}) {
     stage.server->NoteProgress(now);
+    if (first) {
+      stage.server->NoteAccepted(this->try_began);
+    }
   }
   this->BeginStream();
   this->sink.Write(WriteChunk(chunk));
@@ -141,8 +145,7 @@
 
 void Exchange::NoteRefusal(Server& refuser, unsigned status) {
   if (this->chain) {
-    // It is full or gone; either takes a while to change.
-    refuser.NoteFailure(this->relay.Now());
+    refuser.NoteRefusal(this->relay.Now(), this->try_began);
   }
   this->relay.events.Record(
       EventId::kRelayAttemptFailed,
--- a/packages/relay/src/relay/load_exchange.cc
+++ b/packages/relay/src/relay/load_exchange.cc
@@ -50,6 +50,17 @@
   }
 }
 
+void TakeRefusals(const LoadReport& report, const ServerDirectory& servers,
+                  TimePoint now) {
+  for (const auto& refusal : report.refusals) {
+    if (const ServerPtr server = servers.Find(refusal.server)) {
+      const Duration remaining =
+          std::chrono::milliseconds(refusal.remaining_ms);
+      server->NotePeerRefusal(now + std::min(remaining, kLongestRefusal));
+    }
+  }
+}
+
 LoadExchange::LoadExchange(Relay& shared, Clock& time, std::string name,
                            ReportListener& receiver)
     : relay(shared),
@@ -100,6 +111,8 @@
                                       "malformed");
           } else if (report.value().node != this->node) {
             this->listener.OnReport(report.value());
+            TakeRefusals(report.value(), this->relay.servers,
+                         this->clock.Now());
             this->loads.Put(std::move(report.value()), this->clock.Now());
           }
         }
@@ -125,7 +138,15 @@
   report.availability_zone = this->relay.availability_zone;
   report.incarnation = this->incarnation;
   report.number = ++this->number;
-  this->relay.servers.ForEach([&report](const Server& server) {
+  const TimePoint now = this->clock.Now();
+  this->relay.servers.ForEach([&report, now](const Server& server) {
+    if (now < server.refusing_until) {
+      const auto remaining =
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+              server.refusing_until - now);
+      report.refusals.push_back(
+          {server.record.id, static_cast<std::uint32_t>(remaining.count())});
+    }
     if (server.in_flight > 0) {
       report.loads.push_back(
           {server.record.id, server.in_flight, server.kv_token_layers});
--- a/packages/relay/src/relay/load_exchange.h
+++ b/packages/relay/src/relay/load_exchange.h
@@ -38,6 +38,11 @@
   std::map<std::string, Entry, std::less<>> reports;
 };
 
+/// Keeps requests away from the servers that refuse those of a peer, for as
+/// long as the peer does.
+void TakeRefusals(const LoadReport& report, const ServerDirectory& servers,
+                  TimePoint now);
+
 /// Takes what peers report besides their load.
 class ReportListener {
  public:
--- a/packages/relay/src/relay/load_report.cc
+++ b/packages/relay/src/relay/load_report.cc
@@ -9,11 +9,12 @@
 namespace {
 
 /// First member of each report; other datagrams are dropped.
-constexpr std::uint32_t kReportFormat = 2;
+constexpr std::uint32_t kReportFormat = 3;
 
 /// Members of the arrays of a report.
-constexpr std::size_t kReportMembers = 11;
+constexpr std::size_t kReportMembers = 12;
 constexpr std::size_t kLoadMembers = 3;
+constexpr std::size_t kRefusalMembers = 2;
 constexpr std::size_t kNewsMembers = 3;
 constexpr std::size_t kEntryMembers = 3;
 constexpr std::size_t kRecordMembers = 9;
@@ -47,6 +48,11 @@
           members[2].as<double>()};
 }
 
+ServerRefusal RefusalOf(const msgpack::object& object) {
+  const auto members = ElementsOf(object, kRefusalMembers);
+  return {members[0].as<std::string>(), members[1].as<std::uint32_t>()};
+}
+
 void Pack(Packer& packer, const ServerRecord& record) {
   packer.pack_array(kRecordMembers);
   packer.pack(record.service);
@@ -131,6 +137,9 @@
   for (const auto& news : ElementsOf(members[10])) {
     report.news.push_back(NewsOf(news));
   }
+  for (const auto& refusal : ElementsOf(members[11])) {
+    report.refusals.push_back(RefusalOf(refusal));
+  }
   return report;
 }
 
@@ -160,6 +169,12 @@
   for (const auto& news : report.news) {
     Pack(packer, news);
   }
+  packer.pack_array(static_cast<std::uint32_t>(report.refusals.size()));
+  for (const auto& refusal : report.refusals) {
+    packer.pack_array(kRefusalMembers);
+    packer.pack(refusal.server);
+    packer.pack(refusal.remaining_ms);
+  }
   return {bytes.data(), bytes.size()};
 }
 
--- a/packages/relay/src/relay/load_report.h
+++ b/packages/relay/src/relay/load_report.h
@@ -19,6 +19,14 @@
   bool operator==(const ServerLoad&) const = default;
 };
 
+/// A server that has refused requests of the reporting process.
+struct ServerRefusal {
+  std::string server;
+  std::uint32_t remaining_ms = 0;  ///< Until it should be asked again.
+
+  bool operator==(const ServerRefusal&) const = default;
+};
+
 /// Changes of the list of servers that one look at the store has shown.
 struct ServerNews {
   std::uint64_t from = 0;  ///< Revision that the changes follow.
@@ -33,6 +41,7 @@
   std::int64_t incarnation = 0;  ///< Grows with each start of the node.
   std::uint64_t number = 0;      ///< Grows with each report of an incarnation.
   std::vector<ServerLoad> loads;
+  std::vector<ServerRefusal> refusals;  ///< Seen by this process itself.
   std::uint64_t configuration_version = 0;
   bool holds_lease = false;
   std::uint64_t server_revision = 0;  ///< Of the list of servers in use.
--- a/packages/relay/src/relay/server.cc
+++ b/packages/relay/src/relay/server.cc
@@ -22,6 +22,11 @@
 /// them is at fault, and streams through the others clear those again.
 constexpr Duration kDoubt = milliseconds(400);
 
+/// First time without requests after a refusal: a full engine has room again
+/// when one of some fifty streams ends, each of which takes seconds.
+constexpr Duration kFirstRefusal = milliseconds(300);
+constexpr int kMostDoublings = 4;
+
 }  // namespace
 
 void Server::NoteProgress(TimePoint now) {
@@ -46,11 +51,34 @@
 
 void Server::NoteFailure(TimePoint now) {
   this->failure_rate += kAverageWeight * (1.0 - this->failure_rate);
-  const int doublings = std::min(this->failures_in_row++, 4);
+  const int doublings = std::min(this->failures_in_row++, kMostDoublings);
   this->suspect_until =
       now + std::min(kFirstSuspicion * (1 << doublings), kLongestSuspicion);
 }
 
+void Server::NoteRefusal(TimePoint now, TimePoint sent_at) {
+  if (sent_at < this->refused_at) {
+    return;  // On its way when an earlier one was refused.
+  }
+  const int doublings = std::min(this->refusals_in_row++, kMostDoublings);
+  this->refused_at = now;
+  this->refusing_until =
+      now + std::min(kFirstRefusal * (1 << doublings), kLongestRefusal);
+}
+
+void Server::NotePeerRefusal(TimePoint until) {
+  this->peer_refusing_until = std::max(this->peer_refusing_until, until);
+}
+
+void Server::NoteAccepted(TimePoint sent_at) {
+  if (sent_at < this->refused_at) {
+    return;
+  }
+  this->refusals_in_row = 0;
+  this->refusing_until = {};
+  this->peer_refusing_until = {};
+}
+
 void Server::NoteDoubt(TimePoint now) {
   this->suspect_until = std::max(this->suspect_until, now + kDoubt);
 }
--- a/packages/relay/src/relay/server.h
+++ b/packages/relay/src/relay/server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -9,6 +10,10 @@
 
 namespace qp::relay {
 
+/// Longest time without requests after refusals in a row. A draining engine is
+/// listed as such within seconds, unless the store is away.
+inline constexpr Duration kLongestRefusal = std::chrono::milliseconds(4800);
+
 /// A backend server together with what this process has seen of it.
 struct Server {
   ServerRecord record;
@@ -31,6 +36,13 @@
   std::uint32_t reported_busy = 0;
   TimePoint reported_at{};
 
+  // Refusals, by itself or by a chain that names it. It may be full, draining
+  // or dead; streams that run through it already say nothing of that.
+  TimePoint refused_at{};
+  TimePoint refusing_until{};       ///< Gets no requests before, if others can.
+  TimePoint peer_refusing_until{};  ///< The same as peers report it.
+  int refusals_in_row = 0;
+
   // Failures.
   TimePoint last_progress{};  ///< Last answer or event that came through it.
   TimePoint suspect_until{};  ///< Gets no requests before, if others can.
@@ -41,12 +53,23 @@
   bool IsUsable() const {
     return !this->record.draining && !this->removed_at.has_value();
   }
-  bool IsSuspect(TimePoint now) const { return now < this->suspect_until; }
+  bool IsRefusing(TimePoint now) const {
+    return now < this->refusing_until || now < this->peer_refusing_until;
+  }
+  bool IsSuspect(TimePoint now) const {
+    return now < this->suspect_until || this->IsRefusing(now);
+  }
 
   void NoteProgress(TimePoint now);
   void NoteAnswer(TimePoint now, Duration latency, bool good);
   /// Keeps requests away for a time that doubles with each failure in a row.
   void NoteFailure(TimePoint now);
+  /// Keeps requests away for a time that doubles with each refusal of a request
+  /// that was sent, at `sent_at`, after the last refusal.
+  void NoteRefusal(TimePoint now, TimePoint sent_at);
+  void NotePeerRefusal(TimePoint until);
+  /// A request that was sent at `sent_at` has begun to run on it.
+  void NoteAccepted(TimePoint sent_at);
   /// Keeps requests away for a short time: it may have failed one, or another
   /// server of the same chain may have.
   void NoteDoubt(TimePoint now);
--- a/packages/relay/tests/relay/load_exchange_test.cc
+++ b/packages/relay/tests/relay/load_exchange_test.cc
@@ -34,10 +34,13 @@
       report.loads.push_back({*rc::gen::arbitrary<std::string>(),
                               *rc::gen::arbitrary<std::uint32_t>(), 0.5});
     }
+    report.refusals.push_back({*rc::gen::arbitrary<std::string>(),
+                               *rc::gen::arbitrary<std::uint32_t>()});
     const auto decoded = DecodeLoadReport(EncodeLoadReport(report));
     RC_ASSERT(decoded.has_value());
     RC_ASSERT(decoded.value().number == report.number);
     RC_ASSERT(decoded.value().loads == report.loads);
+    RC_ASSERT(decoded.value().refusals == report.refusals);
   });
 }
 
@@ -67,6 +70,22 @@
   CHECK(servers.Find("s1")->peer_streams == 4);
 }
 
+TEST_CASE("A server that refuses a peer is passed over for a bounded time",
+          "[relay][load]") {
+  ServerDirectory servers;
+  servers.Put(MakeRecord("s1", "ledger"), kNow);
+  const ServerPtr server = servers.Find("s1");
+  LoadReport report = MakeReport("n1", 1, 3);
+  report.refusals = {{"s1", 200}, {"unknown", 200}};
+  TakeRefusals(report, servers, kNow);
+  CHECK(server->IsSuspect(kNow + milliseconds(199)));
+  CHECK_FALSE(server->IsSuspect(kNow + milliseconds(200)));
+  // A peer can't take a server away for good.
+  report.refusals = {{"s1", 4'000'000'000}};
+  TakeRefusals(report, servers, kNow);
+  CHECK_FALSE(server->IsSuspect(kNow + kLongestRefusal));
+}
+
 TEST_CASE("A restarted peer's first report replaces its last one",
           "[relay][load]") {
   ServerDirectory servers;
--- a/packages/relay/tests/relay/server_directory_test.cc
+++ b/packages/relay/tests/relay/server_directory_test.cc
@@ -64,17 +64,4 @@
   }
 }
 
-TEST_CASE("Suspicion grows with failures in a row and ends with progress",
-          "[relay][servers]") {
-  Server server;
-  server.NoteFailure(kNow);
-  const auto first = server.suspect_until;
-  server.NoteFailure(kNow);
-  CHECK(server.suspect_until > first);
-  server.NoteProgress(kNow);
-  CHECK_FALSE(server.IsSuspect(kNow));
-  server.NoteFailure(kNow);
-  CHECK(server.suspect_until == first);
-}
-
 }  // namespace qp::relay::testing
--- /dev/null
+++ b/packages/relay/tests/relay/server_test.cc
@@ -0,0 +1,75 @@
+#include "relay/server.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+
+namespace qp::relay::testing {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const TimePoint kNow{std::chrono::hours(1)};
+
+}  // namespace
+
+TEST_CASE("Suspicion grows with failures in a row and ends with progress",
+          "[relay][servers]") {
+  Server server;
+  server.NoteFailure(kNow);
+  const auto first = server.suspect_until;
+  server.NoteFailure(kNow);
+  CHECK(server.suspect_until > first);
+  server.NoteProgress(kNow);
+  CHECK_FALSE(server.IsSuspect(kNow));
+  server.NoteFailure(kNow);
+  CHECK(server.suspect_until == first);
+}
+
+TEST_CASE("Events of running streams don't end a refusal", "[relay][servers]") {
+  Server server;
+  server.NoteRefusal(kNow, kNow - milliseconds(5));
+  server.NoteProgress(kNow + milliseconds(10));
+  CHECK(server.IsSuspect(kNow + milliseconds(20)));
+}
+
+TEST_CASE("Refusals in a row keep requests away for longer",
+          "[relay][servers]") {
+  Server server;
+  server.NoteRefusal(kNow, kNow - milliseconds(5));
+  const Duration first = server.refusing_until - kNow;
+  const TimePoint next = server.refusing_until + milliseconds(5);
+  SECTION("if the request was sent after the last refusal") {
+    server.NoteRefusal(next, next - milliseconds(5));
+    CHECK(server.refusing_until - next > first);
+  }
+  SECTION("but not if several were on their way") {
+    server.NoteRefusal(next, kNow - milliseconds(1));
+    CHECK(server.refusing_until - next <= first);
+  }
+  SECTION("until one is accepted again") {
+    server.NoteAccepted(next);
+    CHECK_FALSE(server.IsSuspect(next));
+    server.NoteRefusal(next, next - milliseconds(5));
+    CHECK(server.refusing_until - next == first);
+  }
+}
+
+TEST_CASE("A request that was accepted before a refusal does not end it",
+          "[relay][servers]") {
+  Server server;
+  server.NoteRefusal(kNow, kNow - milliseconds(5));
+  server.NoteAccepted(kNow - milliseconds(1));
+  CHECK(server.IsSuspect(kNow + milliseconds(20)));
+}
+
+TEST_CASE("Refusals that peers report keep requests away", "[relay][servers]") {
+  Server server;
+  server.NotePeerRefusal(kNow + milliseconds(300));
+  CHECK(server.IsSuspect(kNow + milliseconds(200)));
+  CHECK_FALSE(server.IsSuspect(kNow + milliseconds(300)));
+  server.NotePeerRefusal(kNow + milliseconds(100));
+  CHECK(server.IsSuspect(kNow + milliseconds(200)));
+}
+
+}  // namespace qp::relay::testing
