Keep memory for requests on engines, and know other zones' load

Two causes, found in this order: - Processes of another zone did not know the load there: engine i-47fec1e139 carried 119 to 131 streams when processes counted 25 to 90. - Memory for requests was the scarce resource. Engines held as many layers as left room for 36,000 tokens; 16 copies of the model left 0.6 of 2.9 TB for requests, and a report of each engine showed 0.6 to 0.99 of that in use.

Ruled out: slots (never short), wrong counts (running / counted streams 1.0 on 1,123 readings), wrong capacity (the engines' totals match the profile's). Counted memory was too high by the output that is not yet written: used / counted 0.84 (median, quartiles 0.77 and 0.92).

Change: - each process sends the load of its whole zone to one process of each other zone, drawn anew each time; - a whole chain inside another zone goes before one over several zones, which share a pipe; - a request counts with its prompt and half of its output; - zones hold two copies of the model, if they can, and leave the rest of their cards' memory to requests, up to 100,000 tokens an engine.

Tests: server_choice_test (red: a0, b1 instead of b0, b1), layer_plan_test, load_exchange_test.

--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -181,7 +181,8 @@
   this->body.clear();
   this->splitter.Reset();
 
-  const double tokens = this->facts.prompt_tokens + this->facts.output_tokens;
+  const double tokens =
+      MemoryTokens(this->facts.prompt_tokens, this->facts.output_tokens);
   if (this->chain) {
     for (const auto& stage : this->chain->stages) {
       ++stage.server->in_flight;
@@ -239,7 +240,8 @@
 }
 
 void Exchange::ReleaseTry() {
-  const double tokens = this->facts.prompt_tokens + this->facts.output_tokens;
+  const double tokens =
+      MemoryTokens(this->facts.prompt_tokens, this->facts.output_tokens);
   if (this->chain) {
     for (const auto& stage : this->chain->stages) {
       stage.server->in_flight -= stage.server->in_flight > 0 ? 1 : 0;
--- a/packages/relay/src/relay/layer_plan.cc
+++ b/packages/relay/src/relay/layer_plan.cc
@@ -8,6 +8,8 @@
 
 namespace {
 
+/// Step in which memory for requests is given up for layers, in tokens.
+constexpr double kKvTokenStep = 8'000;
 /// Sums of speeds below this are rounding errors of 0.
 constexpr double kRounding = 1e-9;
 
@@ -54,10 +56,10 @@
 };
 
 /// Ranges begin at multiples of this, so that those of different cards meet.
-std::uint32_t GridOf(const EngineProfile& profile) {
+std::uint32_t GridOf(const EngineProfile& profile, double kv_tokens) {
   std::uint32_t smallest = profile.layers;
   for (const auto& [kind, accelerator] : profile.accelerators) {
-    const auto fitting = profile.LayersThatFit(kind, kPlannedKvTokens);
+    const auto fitting = profile.LayersThatFit(kind, kv_tokens);
     if (fitting > 0) {
       smallest = std::min(smallest, fitting);
     }
@@ -72,12 +74,13 @@
 
 class ZonePlanner {
  public:
-  ZonePlanner(const EngineProfile& model, std::uint32_t step)
-      : profile(model), grid(step), coverage(model.layers) {}
+  explicit ZonePlanner(const EngineProfile& model)
+      : profile(model), coverage(model.layers) {}
 
   void Add(const PlannedEngine& engine) { this->members.push_back(engine); }
 
   void Plan(std::vector<LayerOrder>& orders) {
+    this->ChooseMemory();
     for (const auto& engine : this->members) {
       this->coverage.Add(engine.layers, this->SpeedOf(engine));
     }
@@ -93,9 +96,32 @@
                : 1.0 / found->second.step_factor;
   }
 
+  /// Keeps as much memory for requests as the wanted copies leave.
+  void ChooseMemory() {
+    this->kv_tokens = kMostKvTokens;
+    while (true) {
+      this->grid = GridOf(this->profile, this->kv_tokens);
+      if (this->kv_tokens <= kLeastKvTokens ||
+          this->Copies() >= kWantedCopies) {
+        return;
+      }
+      this->kv_tokens =
+          std::max(kLeastKvTokens, this->kv_tokens - kKvTokenStep);
+    }
+  }
+
+  /// Copies of the model that the engines can hold.
+  double Copies() const {
+    double layers = 0;
+    for (const auto& engine : this->members) {
+      layers += this->SizeFor(engine);
+    }
+    return layers / this->profile.layers;
+  }
+
   std::uint32_t SizeFor(const PlannedEngine& engine) const {
     const auto fitting =
-        this->profile.LayersThatFit(engine.accelerator, kPlannedKvTokens);
+        this->profile.LayersThatFit(engine.accelerator, this->kv_tokens);
     return fitting / this->grid * this->grid;
   }
 
@@ -183,7 +209,8 @@
   }
 
   const EngineProfile& profile;
-  std::uint32_t grid;
+  double kv_tokens = kMostKvTokens;
+  std::uint32_t grid = 1;
   Coverage coverage;
   std::vector<PlannedEngine> members;
 };
@@ -197,9 +224,8 @@
     return orders;
   }
   std::map<std::string, ZonePlanner, std::less<>> zones;
-  const std::uint32_t grid = GridOf(profile);
   for (const auto& engine : engines) {
-    zones.try_emplace(engine.availability_zone, profile, grid)
+    zones.try_emplace(engine.availability_zone, profile)
         .first->second.Add(engine);
   }
   for (auto& [zone, planner] : zones) {
--- a/packages/relay/src/relay/layer_plan.h
+++ b/packages/relay/src/relay/layer_plan.h
@@ -25,19 +25,27 @@
   bool movable = false;  ///< May give its layers up for others.
 };
 
-/// Tokens of requests that each engine keeps memory for. About forty requests
-/// of the mean size, which lets every card of the configured kinds hold some
-/// tenth of the layers and still leaves two copies of the model in a zone.
-inline constexpr double kPlannedKvTokens = 36'000;
+/// Tokens of requests that each engine keeps memory for, at most: some hundred
+/// requests of the usual size, with which a step takes twice as long as with
+/// one. Memory for more would not be used in time.
+inline constexpr double kMostKvTokens = 100'000;
+/// The same at least: some forty requests of the usual size, what an engine
+/// holds on a calm day.
+inline constexpr double kLeastKvTokens = 36'000;
+/// Copies of the model in a zone for which memory for requests is given up, so
+/// that the loss of an engine leaves no layer without one.
+inline constexpr double kWantedCopies = 2.0;
 
 /// Chooses layers so that each availability zone covers the whole model, as
-/// evenly and as often as its cards allow: activations between zones share a
-/// narrow pipe. Each empty engine takes the least covered range; if a range is
-/// covered by nobody and no engine is empty, an engine whose layers others
-/// hold as well moves there. Engines that hold layers are otherwise left
-/// alone, since every load costs time.
+/// evenly as its cards allow: activations between zones share a narrow pipe.
+/// Beyond the wanted copies of the model, cards keep their memory for requests,
+/// of which a zone can carry more the fewer layers it holds. Each empty engine
+/// takes the least covered range; if a range is covered by nobody and no engine
+/// is empty, an engine whose layers others hold as well moves there. Engines
+/// that hold layers are otherwise left alone, since every load costs time.
 ///
-/// Answers any load that the zones can carry; the load itself is no input.
+/// Answers the load of a busy hour, at which memory for requests runs out
+/// before the cards' speed does; the load itself is no input.
 std::vector<LayerOrder> PlanLayers(const EngineProfile& profile,
                                    std::span<const PlannedEngine> engines);
 
--- a/packages/relay/src/relay/load_exchange.cc
+++ b/packages/relay/src/relay/load_exchange.cc
@@ -1,6 +1,7 @@
 #include "relay/load_exchange.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include "foundation/wait.h"
@@ -15,10 +16,21 @@
 /// Largest report; what does not fit is left out, and peers read it from the
 /// store themselves.
 constexpr std::size_t kMaxReportBytes = 8 * 1024;
+/// Largest report of a zone: some 800 servers.
+constexpr std::size_t kMaxZoneReportBytes = 24 * 1024;
 
 }  // namespace
 
 void PeerLoads::Put(LoadReport report, TimePoint now) {
+  if (report.covers_zone) {
+    std::string zone = report.availability_zone;
+    if (zone == this->own_zone) {
+      return;  // Known better from its processes themselves.
+    }
+    this->zones.insert_or_assign(std::move(zone),
+                                 Entry{std::move(report), now});
+    return;
+  }
   const auto found = this->reports.find(report.node);
   if (found != this->reports.end()) {
     const LoadReport& known = found->second.report;
@@ -33,21 +45,58 @@
 }
 
 void PeerLoads::Expire(TimePoint now) {
-  std::erase_if(this->reports, [now](const auto& entry) {
+  const auto is_old = [now](const auto& entry) {
     return now - entry.second.received > kMaxAge;
-  });
+  };
+  std::erase_if(this->reports, is_old);
+  std::erase_if(this->zones, is_old);
+}
+
+void PeerLoads::Apply(const LoadReport& report, ServerDirectory& servers) {
+  for (const auto& load : report.loads) {
+    if (const ServerPtr server = servers.Find(load.server)) {
+      server->peer_streams += load.streams;
+      server->peer_kv_token_layers += load.kv_token_layers;
+    }
+  }
 }
 
 void PeerLoads::Apply(ServerDirectory& servers) const {
   servers.ClearPeerLoads();
   for (const auto& [name, entry] : this->reports) {
-    for (const auto& load : entry.report.loads) {
-      if (const ServerPtr server = servers.Find(load.server)) {
-        server->peer_streams += load.streams;
-        server->peer_kv_token_layers += load.kv_token_layers;
-      }
+    // The report of a zone contains those of its processes.
+    if (!this->zones.contains(entry.report.availability_zone)) {
+      Apply(entry.report, servers);
+    }
+  }
+  for (const auto& [zone, entry] : this->zones) {
+    if (zone != this->own_zone) {
+      Apply(entry.report, servers);
+    }
+  }
+}
+
+void PeerLoads::AddZone(LoadReport& report) const {
+  std::map<std::string, ServerLoad> sums;
+  const auto add = [&sums](const LoadReport& part) {
+    for (const auto& load : part.loads) {
+      ServerLoad& sum = sums[load.server];
+      sum.server = load.server;
+      sum.streams += load.streams;
+      sum.kv_token_layers += load.kv_token_layers;
+    }
+  };
+  add(report);
+  for (const auto& [name, entry] : this->reports) {
+    if (entry.report.availability_zone == this->own_zone) {
+      add(entry.report);
     }
   }
+  report.covers_zone = true;
+  report.loads.clear();
+  for (auto& [id, sum] : sums) {
+    report.loads.push_back(std::move(sum));
+  }
 }
 
 void TakeRefusals(const LoadReport& report, const ServerDirectory& servers,
@@ -68,7 +117,8 @@
       node(std::move(name)),
       listener(receiver),
       incarnation(time.WallNow()),
-      socket(shared.io) {}
+      socket(shared.io),
+      loads(shared.availability_zone) {}
 
 Result<void> LoadExchange::Listen(std::string_view address) {
   BOOST_OUTCOME_TRY(parsed, http::ParseEndpoint(address));
@@ -94,7 +144,22 @@
     std::map<std::string, std::string> zone_by_address) {
   this->peers = std::move(zone_by_address);
   this->peers.erase(this->own_address);
-  this->relay.other_zones_known = this->peers.size() < kMaxForOtherZones;
+  this->other_zones.clear();
+  for (const auto& [address, zone] : this->peers) {
+    if (zone != this->relay.availability_zone) {
+      this->other_zones[zone].push_back(address);
+    }
+  }
+  this->NoteKnownZones();
+}
+
+void LoadExchange::NoteKnownZones() {
+  this->all_told = this->peers.size() < kMaxForOtherZones;
+  this->relay.other_zones_known =
+      this->all_told ||
+      std::all_of(
+          this->other_zones.begin(), this->other_zones.end(),
+          [this](const auto& zone) { return this->loads.Knows(zone.first); });
 }
 
 void LoadExchange::Receive() {
@@ -128,6 +193,7 @@
     co_await SleepFor(this->clock, kInterval * slowdown);
     this->loads.Expire(this->clock.Now());
     this->loads.Apply(this->relay.servers);
+    this->NoteKnownZones();
     this->SendReports();
   }
 }
@@ -165,23 +231,44 @@
     bytes = EncodeLoadReport(report);
   }
   const bool to_others = this->number % kOtherZoneEvery == 0 &&
-                         (this->relay.other_zones_known || report.holds_lease);
+                         (this->all_told || report.holds_lease);
   for (const auto& [address, zone] : this->peers) {
-    if (zone != this->relay.availability_zone && !to_others) {
-      continue;
-    }
-    const auto peer = http::ParseEndpoint(address);
-    if (!peer) {
-      continue;
-    }
-    boost::system::error_code failure;
-    this->socket.send_to(
-        asio::buffer(bytes),
-        udp::endpoint(peer.value().address(), peer.value().port()), 0, failure);
-    if (failure) {
-      this->relay.metrics.Count("quetzalpost_load_reports_total", "unsent");
+    if (zone == this->relay.availability_zone || to_others) {
+      this->SendTo(address, bytes);
     }
   }
+  if (!this->all_told && this->number % kZoneEvery == 0) {
+    this->SendZoneReports(std::move(report));
+  }
+}
+
+void LoadExchange::SendZoneReports(LoadReport report) {
+  this->loads.AddZone(report);
+  report.news.clear();
+  const std::string bytes = EncodeLoadReport(report);
+  if (bytes.size() > kMaxZoneReportBytes) {
+    this->relay.metrics.Count("quetzalpost_load_reports_total", "too_large");
+    return;
+  }
+  for (const auto& [zone, addresses] : this->other_zones) {
+    const auto drawn = std::uniform_int_distribution<std::size_t>(
+        0, addresses.size() - 1)(this->relay.random);
+    this->SendTo(addresses[drawn], bytes);
+  }
+}
+
+void LoadExchange::SendTo(std::string_view address, std::string_view bytes) {
+  const auto peer = http::ParseEndpoint(address);
+  if (!peer) {
+    return;  // An entry of the store that names no address.
+  }
+  boost::system::error_code failure;
+  this->socket.send_to(
+      asio::buffer(bytes.data(), bytes.size()),
+      udp::endpoint(peer.value().address(), peer.value().port()), 0, failure);
+  if (failure) {
+    this->relay.metrics.Count("quetzalpost_load_reports_total", "unsent");
+  }
 }
 
 }  // namespace qp::relay
--- a/packages/relay/src/relay/load_exchange.h
+++ b/packages/relay/src/relay/load_exchange.h
@@ -16,18 +16,25 @@
 
 namespace qp::relay {
 
-/// Latest report of each peer, added up by server.
+/// Latest report of each peer and of each other zone, added up by server.
 class PeerLoads {
  public:
   /// Age at which a report no longer counts: its requests have mostly ended,
   /// and a peer that is gone must not take up room for longer.
   static constexpr Duration kMaxAge = std::chrono::milliseconds(1500);
 
-  /// Ignores reports older than the one known of the node.
+  explicit PeerLoads(std::string zone) : own_zone(std::move(zone)) {}
+
+  /// Ignores reports older than the one known of the node. Of a zone the last
+  /// one to arrive counts, whoever sent it.
   void Put(LoadReport report, TimePoint now);
   void Expire(TimePoint now);
   /// Writes the sums into the servers of the directory.
   void Apply(ServerDirectory& servers) const;
+  /// Adds the loads of the peers in this zone to those of this process.
+  void AddZone(LoadReport& report) const;
+  /// Whether a report that covers the zone is known.
+  bool Knows(std::string_view zone) const { return this->zones.contains(zone); }
   std::size_t size() const { return this->reports.size(); }
 
  private:
@@ -35,7 +42,11 @@
     LoadReport report;
     TimePoint received{};
   };
+  static void Apply(const LoadReport& report, ServerDirectory& servers);
+
+  std::string own_zone;
   std::map<std::string, Entry, std::less<>> reports;
+  std::map<std::string, Entry, std::less<>> zones;
 };
 
 /// Keeps requests away from the servers that refuse those of a peer, for as
@@ -57,8 +68,12 @@
 /// replaced by the next.
 ///
 /// Peers of the same zone are told often, as they use the same engines; peers
-/// of other zones seldom, and in large deployments by the holder of the lease
-/// only.
+/// of other zones seldom. In large deployments the holder of the lease is the
+/// only one to tell all of them. There each process sends the load of its whole
+/// zone to one process of each other zone, drawn anew each time (rumour
+/// spreading after Demers et al., "Epidemic algorithms for replicated database
+/// maintenance", PODC 1987): with zones of like size each process hears of each
+/// zone once a round on average, and no process has a part of its own in it.
 class LoadExchange {
  public:
   /// Time between two reports to a peer of the zone. Some two requests per
@@ -82,9 +97,15 @@
   Task<void> Run();
 
  private:
+  /// Reports in the zone for each one that covers the zone.
+  static constexpr std::uint64_t kZoneEvery = 2;
+
   void Receive();
   LoadReport MakeReport();
   void SendReports();
+  void SendZoneReports(LoadReport report);
+  void SendTo(std::string_view address, std::string_view bytes);
+  void NoteKnownZones();
 
   Relay& relay;
   Clock& clock;
@@ -94,9 +115,11 @@
   std::int64_t incarnation;
   asio::ip::udp::socket socket;
   asio::ip::udp::endpoint sender;
-  std::array<char, 16384> buffer;
-  std::map<std::string, std::string> peers;
+  std::array<char, 32768> buffer;
+  std::map<std::string, std::string> peers;  ///< Zone by address.
+  std::map<std::string, std::vector<std::string>> other_zones;
   std::uint64_t number = 0;
+  bool all_told = true;  ///< Few enough peers for a report to each.
   PeerLoads loads;
 };
 
--- a/packages/relay/src/relay/load_report.cc
+++ b/packages/relay/src/relay/load_report.cc
@@ -9,10 +9,10 @@
 namespace {
 
 /// First member of each report; other datagrams are dropped.
-constexpr std::uint32_t kReportFormat = 3;
+constexpr std::uint32_t kReportFormat = 4;
 
 /// Members of the arrays of a report.
-constexpr std::size_t kReportMembers = 12;
+constexpr std::size_t kReportMembers = 13;
 constexpr std::size_t kLoadMembers = 3;
 constexpr std::size_t kRefusalMembers = 2;
 constexpr std::size_t kNewsMembers = 3;
@@ -140,6 +140,7 @@
   for (const auto& refusal : ElementsOf(members[11])) {
     report.refusals.push_back(RefusalOf(refusal));
   }
+  report.covers_zone = members[12].as<bool>();
   return report;
 }
 
@@ -175,6 +176,7 @@
     packer.pack(refusal.server);
     packer.pack(refusal.remaining_ms);
   }
+  packer.pack(report.covers_zone);
   return {bytes.data(), bytes.size()};
 }
 
--- a/packages/relay/src/relay/load_report.h
+++ b/packages/relay/src/relay/load_report.h
@@ -40,6 +40,8 @@
   std::string availability_zone;
   std::int64_t incarnation = 0;  ///< Grows with each start of the node.
   std::uint64_t number = 0;      ///< Grows with each report of an incarnation.
+  /// The loads are those of all processes of the zone.
+  bool covers_zone = false;
   std::vector<ServerLoad> loads;
   std::vector<ServerRefusal> refusals;  ///< Seen by this process itself.
   std::uint64_t configuration_version = 0;
--- a/packages/relay/src/relay/server_choice.cc
+++ b/packages/relay/src/relay/server_choice.cc
@@ -21,8 +21,9 @@
 /// choose the same chain.
 constexpr double kNoise = 0.15;
 /// Part of an engine's memory that may be planned for. Engines preempt
-/// requests when memory runs out.
-constexpr double kMemoryUse = 0.9;
+/// requests when memory runs out; what they use is within a tenth of what is
+/// counted here for half of the time.
+constexpr double kMemoryUse = 0.95;
 /// An engine whose memory is taken up to u counts as slower by 1 / (1 - u), so
 /// that others fill up before it is full. Bounds that factor.
 constexpr double kLeastRoom = 0.05;
@@ -110,7 +111,8 @@
     const double wanted =
         server.kv_token_layers + server.peer_kv_token_layers +
         this->query.peers * server.unreported_kv_token_layers +
-        (this->query.prompt_tokens + this->query.output_tokens) * held;
+        MemoryTokens(this->query.prompt_tokens, this->query.output_tokens) *
+            held;
     return wanted * mb_per_token_layer / free_mb;
   }
 
@@ -183,9 +185,9 @@
 };
 
 /// Best chain over the engines given. A chain inside of the own zone goes
-/// first, unless one inside of another zone is faster by far. Without one, the
-/// zones help each other out: engines of the own zone take part as far as they
-/// hold layers, so that the others don't bear the whole load.
+/// first, unless one inside of another zone is faster by far. A chain over
+/// several zones is the last resort: each prompt passes the pipe between them,
+/// which carries some forty prompts a second for the whole deployment.
 std::optional<Chain> ChooseAmong(const EngineProfile& profile,
                                  std::span<const ServerPtr> engines,
                                  const ChoiceQuery& query,
@@ -195,40 +197,39 @@
     zones.try_emplace(engine->record.availability_zone, profile, query, random)
         .first->second.Add(engine);
   }
-  const auto own_search = zones.find(query.availability_zone);
-  auto own =
-      own_search == zones.end() ? std::nullopt : own_search->second.Run();
-  if (!own) {
-    ChainSearch everywhere(profile, query, random);
-    for (const auto& engine : engines) {
-      everywhere.Add(engine);
-    }
-    return everywhere.Run();
-  }
-  if (!query.other_zones_known) {
-    return own;
+  const auto own = zones.find(query.availability_zone);
+  auto best = own == zones.end() ? std::nullopt : own->second.Run();
+  if (best && !query.other_zones_known) {
+    return best;
   }
-  auto best = std::move(own);
-  const double bound = best->step_ms / kOtherZoneFactor;
+  double bound = best ? best->step_ms / kOtherZoneFactor
+                      : std::numeric_limits<double>::infinity();
   for (auto& [zone, search] : zones) {
     if (zone == query.availability_zone) {
       continue;
     }
     auto chain = search.Run();
-    const double best_ms =
-        best->stages.front().server->record.availability_zone ==
-                query.availability_zone
-            ? bound
-            : best->step_ms;
-    if (chain && chain->step_ms < best_ms) {
+    if (chain && chain->step_ms < bound) {
+      bound = chain->step_ms;
       best = std::move(chain);
     }
   }
-  return best;
+  if (best) {
+    return best;
+  }
+  ChainSearch everywhere(profile, query, random);
+  for (const auto& engine : engines) {
+    everywhere.Add(engine);
+  }
+  return everywhere.Run();
 }
 
 }  // namespace
 
+double MemoryTokens(double prompt_tokens, double output_tokens) {
+  return prompt_tokens + output_tokens / 2;
+}
+
 std::optional<Chain> ChooseChain(const EngineProfile& profile,
                                  std::span<const ServerPtr> engines,
                                  const ChoiceQuery& query, TimePoint now,
--- a/packages/relay/src/relay/server_choice.h
+++ b/packages/relay/src/relay/server_choice.h
@@ -37,6 +37,10 @@
   bool other_zones_known = true;
 };
 
+/// Tokens for which a request takes memory: its prompt all the time, its output
+/// as it grows, half of it on average.
+double MemoryTokens(double prompt_tokens, double output_tokens);
+
 /// Chooses the chain with the least predicted time for a token, inside of one
 /// availability zone where that is possible, since the pipes between zones are
 /// narrow. An engine without memory for the request is passed over.
--- a/packages/relay/tests/relay/layer_plan_test.cc
+++ b/packages/relay/tests/relay/layer_plan_test.cc
@@ -68,6 +68,34 @@
   }
 }
 
+TEST_CASE("A zone of many cards keeps memory for requests", "[relay][layers]") {
+  std::vector<PlannedEngine> engines;
+  for (int index = 0; index < 30; ++index) {
+    engines.push_back(Empty("e" + std::to_string(index), "middle"));
+  }
+  const auto orders = PlanLayers(MakeProfile(), engines);
+  for (const auto& order : orders) {
+    // What is left holds some hundred requests of 1,000 tokens.
+    CHECK(order.layers.size() <=
+          MakeProfile().LayersThatFit("middle", 100'000));
+  }
+  for (const int count : CoverageAfter(engines, orders)) {
+    CHECK(count >= 2);
+  }
+}
+
+TEST_CASE("A zone of few cards holds a second copy rather than more requests",
+          "[relay][layers]") {
+  std::vector<PlannedEngine> engines;
+  for (int index = 0; index < 10; ++index) {
+    engines.push_back(Empty("e" + std::to_string(index), "middle"));
+  }
+  for (const int count :
+       CoverageAfter(engines, PlanLayers(MakeProfile(), engines))) {
+    CHECK(count >= 2);
+  }
+}
+
 TEST_CASE("A plan in force is left alone", "[relay][layers]") {
   auto engines = OneZone();
   engines = Applied(engines, PlanLayers(MakeProfile(), engines));
--- a/packages/relay/tests/relay/load_exchange_test.cc
+++ b/packages/relay/tests/relay/load_exchange_test.cc
@@ -58,7 +58,7 @@
 TEST_CASE("Peers' loads add up and old reports don't count", "[relay][load]") {
   ServerDirectory servers;
   servers.Put(MakeRecord("s1", "ledger"), kNow);
-  PeerLoads loads;
+  PeerLoads loads("a");
   loads.Put(MakeReport("n1", 2, 3), kNow);
   loads.Put(MakeReport("n2", 1, 4), kNow + std::chrono::seconds(1));
   loads.Put(MakeReport("n1", 1, 50), kNow);  // Overtaken on the way.
@@ -70,6 +70,60 @@
   CHECK(servers.Find("s1")->peer_streams == 4);
 }
 
+TEST_CASE("A zone's report takes the place of those of its processes",
+          "[relay][load]") {
+  ServerDirectory servers;
+  servers.Put(MakeRecord("s1", "ledger"), kNow);
+  const ServerPtr server = servers.Find("s1");
+  PeerLoads loads("a");
+  LoadReport holder = MakeReport("n9", 1, 5);
+  holder.availability_zone = "b";
+  loads.Put(MakeReport("n1", 1, 3), kNow);
+  loads.Put(holder, kNow);
+  loads.Apply(servers);
+  REQUIRE(server->peer_streams == 8);
+  LoadReport zone = MakeReport("n8", 1, 20);
+  zone.availability_zone = "b";
+  zone.covers_zone = true;
+  loads.Put(zone, kNow);
+  loads.Apply(servers);
+  CHECK(server->peer_streams == 23);
+  CHECK(loads.Knows("b"));
+  SECTION("until it is old") {
+    loads.Expire(kNow + std::chrono::seconds(2));
+    loads.Apply(servers);
+    CHECK_FALSE(loads.Knows("b"));
+    CHECK(server->peer_streams == 0);
+  }
+  SECTION("and another process of the zone may send the next") {
+    zone = MakeReport("n7", 1, 10);
+    zone.availability_zone = "b";
+    zone.covers_zone = true;
+    loads.Put(zone, kNow);
+    loads.Apply(servers);
+    CHECK(server->peer_streams == 13);
+  }
+}
+
+TEST_CASE("A zone's report adds up this process and its peers in the zone",
+          "[relay][load]") {
+  PeerLoads loads("a");
+  LoadReport other = MakeReport("n9", 1, 50);
+  other.availability_zone = "b";
+  loads.Put(other, kNow);
+  loads.Put(MakeReport("n1", 1, 3), kNow);
+  loads.Put(MakeReport("n2", 1, 4), kNow);
+  LoadReport report = MakeReport("n3", 1, 1);
+  report.loads.push_back({"s2", 6, 10});
+  loads.AddZone(report);
+  CHECK(report.covers_zone);
+  const std::vector<ServerLoad> expected = {{"s1", 8, 800}, {"s2", 6, 10}};
+  CHECK(report.loads == expected);
+  const auto decoded = DecodeLoadReport(EncodeLoadReport(report));
+  REQUIRE(decoded);
+  CHECK(decoded.value().covers_zone);
+}
+
 TEST_CASE("A server that refuses a peer is passed over for a bounded time",
           "[relay][load]") {
   ServerDirectory servers;
@@ -90,7 +144,7 @@
           "[relay][load]") {
   ServerDirectory servers;
   servers.Put(MakeRecord("s1", "ledger"), kNow);
-  PeerLoads loads;
+  PeerLoads loads("a");
   loads.Put(MakeReport("n1", 90, 3), kNow);
   LoadReport restarted = MakeReport("n1", 1, 8);
   restarted.incarnation = 6;
--- a/packages/relay/tests/relay/server_choice_test.cc
+++ b/packages/relay/tests/relay/server_choice_test.cc
@@ -98,6 +98,16 @@
   CHECK(Names(*chain) == std::vector<std::string>{"a0", "b1"});
 }
 
+TEST_CASE("A zone without all layers leaves the request to one that has them",
+          "[relay][chains]") {
+  // Faster over both zones, but each prompt would pass the pipe between them.
+  const auto chain = Choose({MakeEngine("a0", "large", {0, 40}),
+                             MakeEngine("b0", "small", {0, 40}, "b"),
+                             MakeEngine("b1", "small", {40, 80}, "b")});
+  REQUIRE(chain);
+  CHECK(Names(*chain) == std::vector<std::string>{"b0", "b1"});
+}
+
 TEST_CASE("Suspected and excluded engines are passed over", "[relay][chains]") {
   auto suspect = MakeEngine("fast", "large", {0, 80});
   const auto slow = MakeEngine("slow", "small", {0, 80});
