Ask the store less often in large zones

Several processes of a zone looked at the list of servers in the same 150 ms, since a look was told with the next report only; configurations and counts were asked for at a fixed pace by each process.

Change: a look is announced at once, so that the process with the shortest pause looks for its zone. Where a zone has many processes, each waits 1 s for each of them (up to 24 s) for a new configuration, and counts the processes that often: all connections fallen silent, the zone still asks once a second.

Tests: two cases of store_follower_test.cc on the paused clock.

--- a/packages/relay/src/relay/entry_daemon.cc
+++ b/packages/relay/src/relay/entry_daemon.cc
@@ -86,6 +86,7 @@
         readiness(context, time, http::ServerLimits{}, status),
         metrics(context, time, http::ServerLimits{}, status) {
     this->follower.on_change = [this] { this->NoteReadiness(); };
+    this->follower.on_look = [this] { this->exchange.SendNews(); };
   }
 
   bool IsReady() const {
--- a/packages/relay/src/relay/entry_registry.cc
+++ b/packages/relay/src/relay/entry_registry.cc
@@ -56,7 +56,10 @@
   while (!this->relay.draining) {
     const bool counted = co_await this->Count();
     counts += counted ? 1 : 0;
-    const Duration pause = counts < kFirstCounts ? kFirstInterval : kInterval;
+    const auto shared = std::chrono::duration_cast<Duration>(
+        kIntervalEach * this->relay.processes_in_zone);
+    const Duration pause =
+        counts < kFirstCounts ? kFirstInterval : std::max(kInterval, shared);
     co_await SleepFor(this->clock, counted ? pause : kRetry);
   }
 }
--- a/packages/relay/src/relay/entry_registry.h
+++ b/packages/relay/src/relay/entry_registry.h
@@ -16,6 +16,8 @@
   /// Time between two counts. A new process takes its part of the shared
   /// bounds at once and the others give theirs up within this time.
   static constexpr Duration kInterval = std::chrono::seconds(12);
+  /// The same for each process of the zone, where there are many.
+  static constexpr Duration kIntervalEach = std::chrono::seconds(1);
   static constexpr Duration kRetry = std::chrono::milliseconds(500);
 
   /// Time between the first counts, while a deployment starts.
--- a/packages/relay/src/relay/load_exchange.cc
+++ b/packages/relay/src/relay/load_exchange.cc
@@ -225,21 +225,30 @@
 
 void LoadExchange::SendReports() {
   LoadReport report = this->MakeReport();
+  const bool to_others = this->number % kOtherZoneEvery == 0 &&
+                         (this->all_told || report.holds_lease);
+  this->SendToPeers(report, to_others);
+  if (!this->all_told && this->number % kZoneEvery == 0) {
+    this->SendZoneReports(std::move(report));
+  }
+}
+
+void LoadExchange::SendNews() {
+  LoadReport report = this->MakeReport();
+  this->SendToPeers(report, false);
+}
+
+void LoadExchange::SendToPeers(LoadReport& report, bool to_other_zones) {
   std::string bytes = EncodeLoadReport(report);
   if (bytes.size() > kMaxReportBytes) {
     report.news.clear();
     bytes = EncodeLoadReport(report);
   }
-  const bool to_others = this->number % kOtherZoneEvery == 0 &&
-                         (this->all_told || report.holds_lease);
   for (const auto& [address, zone] : this->peers) {
-    if (zone == this->relay.availability_zone || to_others) {
+    if (zone == this->relay.availability_zone || to_other_zones) {
       this->SendTo(address, bytes);
     }
   }
-  if (!this->all_told && this->number % kZoneEvery == 0) {
-    this->SendZoneReports(std::move(report));
-  }
 }
 
 void LoadExchange::SendZoneReports(LoadReport report) {
--- a/packages/relay/src/relay/load_exchange.h
+++ b/packages/relay/src/relay/load_exchange.h
@@ -95,6 +95,8 @@
   void SetPeers(std::map<std::string, std::string> zone_by_address);
   /// Sends reports until the process ends.
   Task<void> Run();
+  /// Tells the peers of the zone at once what is news.
+  void SendNews();
 
  private:
   /// Reports in the zone for each one that covers the zone.
@@ -103,6 +105,7 @@
   void Receive();
   LoadReport MakeReport();
   void SendReports();
+  void SendToPeers(LoadReport& report, bool to_other_zones);
   void SendZoneReports(LoadReport report);
   void SendTo(std::string_view address, std::string_view bytes);
   void NoteKnownZones();
--- a/packages/relay/src/relay/store_follower.cc
+++ b/packages/relay/src/relay/store_follower.cc
@@ -16,12 +16,19 @@
 Task<Result<ConfigurationPage>> StoreFollower::NextConfiguration() {
   return this->configuration_revision
              ? this->store.FollowConfiguration(*this->configuration_revision,
-                                               this->HearsPeers()
-                                                   ? kConfigurationWait
-                                                   : kLoneConfigurationWait)
+                                               this->ConfigurationWait())
              : this->store.ReadConfiguration();
 }
 
+Duration StoreFollower::ConfigurationWait() const {
+  if (!this->HearsPeers()) {
+    return kLoneConfigurationWait;
+  }
+  const auto shared = std::chrono::duration_cast<Duration>(
+      kConfigurationWaitEach * this->relay.processes_in_zone);
+  return std::clamp(shared, kConfigurationWait, kLongestConfigurationWait);
+}
+
 Task<Result<ServerPage>> StoreFollower::NextServers() {
   return this->server_revision
              ? this->store.FollowServers(*this->server_revision, Duration{0})
@@ -139,6 +146,9 @@
   this->server_revision = page.value().revision;
   this->newest_servers = page.value().revision;
   this->servers_true_at = asked_at;
+  if (this->on_look) {
+    this->on_look();
+  }
   co_return pause;
 }
 
--- a/packages/relay/src/relay/store_follower.h
+++ b/packages/relay/src/relay/store_follower.h
@@ -25,6 +25,13 @@
   /// fell silent, peers tell of the change sooner.
   static constexpr Duration kConfigurationWait =
       std::chrono::milliseconds(8000);
+  /// The same for each process of the zone, where there are many: one of them
+  /// asks anew each second on average, should all connections have fallen
+  /// silent. The store allows waits of 30 s.
+  static constexpr Duration kConfigurationWaitEach =
+      std::chrono::milliseconds(1000);
+  static constexpr Duration kLongestConfigurationWait =
+      std::chrono::milliseconds(24000);
   /// The same where no peer has been heard of lately.
   static constexpr Duration kLoneConfigurationWait =
       std::chrono::milliseconds(1000);
@@ -67,9 +74,13 @@
 
   /// Called after each change of the list or the configuration.
   std::function<void()> on_change;
+  /// Called after each own look at the list, of which peers should hear before
+  /// they look themselves.
+  std::function<void()> on_look;
 
  private:
   Task<Result<ConfigurationPage>> NextConfiguration();
+  Duration ConfigurationWait() const;
   Task<void> CatchUpConfiguration();
   Task<void> WaitForStaleServers(Duration age);
   void TakeNews(const ServerNews& news);
--- a/packages/relay/tests/relay/store_follower_test.cc
+++ b/packages/relay/tests/relay/store_follower_test.cc
@@ -20,7 +20,8 @@
     co_return this->Take(this->configurations, this->revision);
   }
   Task<Result<ConfigurationPage>> FollowConfiguration(std::uint64_t after,
-                                                      Duration) override {
+                                                      Duration wait) override {
+    this->last_wait = wait;
     co_return this->Take(this->configurations, after);
   }
   Task<Result<ServerPage>> ReadServers() override {
@@ -35,6 +36,7 @@
   std::deque<Result<ConfigurationPage>> configurations;
   std::deque<Result<ServerPage>> server_pages;
   std::uint64_t revision = 1;
+  Duration last_wait{};
   int whole_configurations = 0;
   int whole_servers = 0;
 
@@ -227,6 +229,39 @@
   CHECK(world.Usable() == 1);
 }
 
+TEST_CASE("An own look is announced, a look of a peer is not",
+          "[relay][store]") {
+  Follower world;
+  world.store.server_pages = {Listed(5, {"s1", "s2"})};
+  int looks = 0;
+  world.follower.on_look = [&looks] { ++looks; };
+  world.Start();
+  CHECK(looks == 1);
+  LoadReport report = PeerReport(9, 0);
+  report.news = {{5, 9, {{"s1", std::nullopt, true}}}};
+  world.follower.TakeReport(report);
+  CHECK(looks == 1);
+}
+
+TEST_CASE("Processes of a large zone wait longer for configurations",
+          "[relay][store]") {
+  Follower world;
+  world.store.configurations = {Version(4)};
+  const auto wait_with = [&world](double processes) {
+    world.harness.relay.processes_in_zone = processes;
+    asio::co_spawn(world.harness.runtime.io(),
+                   world.follower.StepConfiguration(), asio::detached);
+    world.harness.runtime.Settle();
+    return world.store.last_wait;
+  };
+  wait_with(3);
+  CHECK(wait_with(3) == StoreFollower::kLoneConfigurationWait);
+  world.follower.TakeReport(PeerReport(0, 0));
+  CHECK(wait_with(3) == StoreFollower::kConfigurationWait);
+  CHECK(wait_with(20) == std::chrono::seconds(20));
+  CHECK(wait_with(100) == StoreFollower::kLongestConfigurationWait);
+}
+
 TEST_CASE("A process tells of the changes that it has read", "[relay][store]") {
   Follower world;
   ServerPage page = Listed(6, {"s2", "s3"});
