Move silent streams to other engines instead of resuming them

Cause: a stream behind an engine that is lost was cancelled after 600 ms and resumed, which counts against the retry budget of all processes. Ruled out: a larger use of the budget by each process.

Change: the first engine of a silent stream is ordered to go on over a chain without the engines through which nothing came; the answer goes on over the open connection, and engines that stay keep their memory. Streams that may not run twice are moved as well. If the order is refused, or nothing came within 700 ms of it, the stream is resumed as before. Event 7009 says what became of the order.

--- a/packages/foundation/src/foundation/event.cc
+++ b/packages/foundation/src/foundation/event.cc
@@ -132,6 +132,10 @@
               "The store lists a backend server or a new incarnation of it."},
     EventInfo{EventId::kServerUnlisted, "server_unlisted", Severity::kInfo,
               "A backend server is no longer listed and gets no requests."},
+    EventInfo{EventId::kRelayStreamMoved, "relay_stream_moved",
+              Severity::kWarning,
+              "A running stream that fell silent was to go on over other "
+              "engines; the outcome says whether its first engine took it."},
 };
 
 }  // namespace
--- a/packages/foundation/src/foundation/event.h
+++ b/packages/foundation/src/foundation/event.h
@@ -77,6 +77,7 @@
   kLogLinesSuppressed = 7006,
   kServerListed = 7007,
   kServerUnlisted = 7008,
+  kRelayStreamMoved = 7009,
 };
 
 /// Catalogue entry of an event.
--- a/packages/relay/src/relay/deployment_store.h
+++ b/packages/relay/src/relay/deployment_store.h
@@ -9,6 +9,7 @@
 #include "foundation/clock.h"
 #include "foundation/error.h"
 #include "relay/deployment.h"
+#include "relay/server_choice.h"
 
 namespace qp::relay {
 
@@ -77,6 +78,11 @@
                                           LayerRange layers,
                                           std::uint64_t order_count) = 0;
   virtual Task<Result<EngineState>> Ask(ServerRecord engine) = 0;
+  /// Orders the first engine of `chain` to run a stream that it has begun over
+  /// the engines of `chain` from now on. Engines that had a part in it and keep
+  /// it go on with their memory, the others read all tokens so far.
+  virtual Task<Result<OrderOutcome>> MoveStream(std::string attempt_id,
+                                                Chain chain) = 0;
 };
 
 }  // namespace qp::relay
--- a/packages/relay/src/relay/entry_daemon.cc
+++ b/packages/relay/src/relay/entry_daemon.cc
@@ -85,6 +85,7 @@
         status(relay.metrics, [this] { return this->IsReady(); }),
         readiness(context, time, http::ServerLimits{}, status),
         metrics(context, time, http::ServerLimits{}, status) {
+    this->relay.engines = services.engines;
     this->follower.on_change = [this] { this->NoteReadiness(); };
     this->follower.on_look = [this] { this->exchange.SendNews(); };
   }
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -148,7 +148,7 @@
   this->SendTo(this->server);
 }
 
-bool Exchange::ChooseTarget() {
+ChoiceQuery Exchange::MakeQuery() const {
   ChoiceQuery query;
   query.availability_zone = this->relay.availability_zone;
   query.excluded = this->excluded;
@@ -156,6 +156,11 @@
   query.output_tokens = this->facts.output_tokens;
   query.peers = this->relay.processes_in_zone - 1;
   query.other_zones_known = this->relay.other_zones_known;
+  return query;
+}
+
+bool Exchange::ChooseTarget() {
+  const ChoiceQuery query = this->MakeQuery();
   const auto servers = this->relay.servers.Of(this->service->name);
   this->chain.reset();
   this->server = nullptr;
@@ -177,24 +182,12 @@
   this->try_began = this->relay.Now();
   this->last_event_at = this->try_began;
   this->try_has_events = false;
+  this->moved_at.reset();
   this->head.reset();
   this->body.clear();
   this->splitter.Reset();
 
-  const double tokens =
-      MemoryTokens(this->facts.prompt_tokens, this->facts.output_tokens);
-  if (this->chain) {
-    for (const auto& stage : this->chain->stages) {
-      ++stage.server->in_flight;
-      const double token_layers = tokens * stage.layers.size();
-      stage.server->kv_token_layers += token_layers;
-      ++stage.server->unreported_streams;
-      stage.server->unreported_kv_token_layers += token_layers;
-    }
-  } else {
-    ++target->in_flight;
-  }
-
+  this->PutLoad();
   ForwardFacts forward;
   forward.server_id = target->record.id;
   forward.workspace = this->workspace;
@@ -240,19 +233,41 @@
 }
 
 void Exchange::ReleaseTry() {
+  this->TakeLoadOff();
+  this->call = nullptr;
+  this->stream_timer.Cancel();
+}
+
+void Exchange::PutLoad() {
+  if (!this->chain) {
+    ++this->server->in_flight;
+    return;
+  }
   const double tokens =
       MemoryTokens(this->facts.prompt_tokens, this->facts.output_tokens);
-  if (this->chain) {
-    for (const auto& stage : this->chain->stages) {
-      stage.server->in_flight -= stage.server->in_flight > 0 ? 1 : 0;
-      stage.server->kv_token_layers = std::max(
-          0.0, stage.server->kv_token_layers - tokens * stage.layers.size());
+  for (const auto& stage : this->chain->stages) {
+    const double token_layers = tokens * stage.layers.size();
+    ++stage.server->in_flight;
+    stage.server->kv_token_layers += token_layers;
+    ++stage.server->unreported_streams;
+    stage.server->unreported_kv_token_layers += token_layers;
+  }
+}
+
+void Exchange::TakeLoadOff() {
+  if (!this->chain) {
+    if (this->server != nullptr) {
+      this->server->in_flight -= this->server->in_flight > 0 ? 1 : 0;
     }
-  } else if (this->server != nullptr) {
-    this->server->in_flight -= this->server->in_flight > 0 ? 1 : 0;
+    return;
+  }
+  const double tokens =
+      MemoryTokens(this->facts.prompt_tokens, this->facts.output_tokens);
+  for (const auto& stage : this->chain->stages) {
+    stage.server->in_flight -= stage.server->in_flight > 0 ? 1 : 0;
+    stage.server->kv_token_layers = std::max(
+        0.0, stage.server->kv_token_layers - tokens * stage.layers.size());
   }
-  this->call = nullptr;
-  this->stream_timer.Cancel();
 }
 
 void Exchange::FailTry(bool may_have_run, std::string_view why) {
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -53,6 +53,7 @@
   bool CheckKey(const DeploymentConfiguration& configuration);
   void PickService();
   void TryServers();
+  ChoiceQuery MakeQuery() const;
   bool ChooseTarget();
   void SendTo(const ServerPtr& server);
   /// Whether the answer under way is a stream of events to be passed on.
@@ -70,8 +71,15 @@
   void AbandonTry();
   /// Takes the load of the try off its servers.
   void ReleaseTry();
+  void PutLoad();
+  void TakeLoadOff();
+  /// Lets a silent stream go on over other engines behind its first one, which
+  /// no server counts as an arrival. False if there is no such chain.
+  bool TryMove();
+  Task<void> Move(Chain chain, std::weak_ptr<int> alive, int moved_try);
+  void GiveUpSilentTry();
   void FailTry(bool may_have_run, std::string_view why);
-  void SuspectChain(TimePoint since);
+  std::vector<ServerPtr> SuspectChain(TimePoint since);
   void WatchStream();
   void CheckStream();
   void TimeOut();
@@ -116,6 +124,10 @@
   std::optional<std::uint64_t> last_event_id;
   TimePoint last_event_at{};  ///< Or the beginning of the try.
   bool try_has_events = false;
+  /// When the stream was last moved to other engines; empty: not in this try.
+  std::optional<TimePoint> moved_at;
+  /// Lets an order that is under way see that the exchange is gone.
+  std::shared_ptr<int> alive = std::make_shared<int>(0);
 };
 
 }  // namespace qp::relay
--- a/packages/relay/src/relay/exchange_answers.cc
+++ b/packages/relay/src/relay/exchange_answers.cc
@@ -21,6 +21,10 @@
 /// Longest silence in a stream. Callers leave after a gap of 2 s; a gap of
 /// 200 ms makes the answer late.
 constexpr Duration kLongestGap = milliseconds(600);
+/// Longest wait for the next event of a stream that was to go on over other
+/// engines: they read some thousand tokens, at a hundred a millisecond and
+/// slowed by other work. With the gap before it, callers still wait.
+constexpr Duration kMoveBound = milliseconds(700);
 
 }  // namespace
 
@@ -208,7 +212,7 @@
   this->FailTry(failure.may_have_run, failure.error.detail);
 }
 
-void Exchange::SuspectChain(TimePoint since) {
+std::vector<ServerPtr> Exchange::SuspectChain(TimePoint since) {
   const TimePoint now = this->relay.Now();
   std::vector<ServerPtr> silent;
   for (const auto& stage : this->chain->stages) {
@@ -230,6 +234,7 @@
          {"others", std::to_string(silent.size() - 1)},
          {"silent_ms", MillisText(now - server->last_progress)}});
   }
+  return silent;
 }
 
 void Exchange::WatchStream() {
@@ -249,6 +254,71 @@
     this->WatchStream();
     return;
   }
+  if (begun && this->TryMove()) {
+    return;
+  }
+  this->GiveUpSilentTry();
+}
+
+bool Exchange::TryMove() {
+  const bool moved_since =
+      this->moved_at && *this->moved_at >= this->last_event_at;
+  if (!this->chain || this->relay.engines == nullptr || moved_since) {
+    return false;
+  }
+  const ChainStage first = this->chain->stages.front();
+  ChoiceQuery query = this->MakeQuery();
+  std::vector<std::string> avoided = this->excluded;
+  for (const auto& server : this->SuspectChain(this->last_event_at)) {
+    if (server != first.server) {
+      avoided.push_back(server->record.id);
+    }
+  }
+  query.excluded = avoided;
+  query.first_stage = &first;
+  auto next = ChooseChain(*this->service->engine,
+                          this->relay.servers.Of(this->service->name), query,
+                          this->relay.Now(), this->relay.random);
+  if (!next || next->stages.front().server != first.server) {
+    return false;
+  }
+  this->moved_at = this->relay.Now();
+  this->stream_timer.Start(*this->moved_at + kMoveBound,
+                           [this] { this->CheckStream(); });
+  asio::co_spawn(this->relay.io,
+                 this->Move(std::move(*next), this->alive, this->tries),
+                 asio::detached);
+  return true;
+}
+
+Task<void> Exchange::Move(Chain next, std::weak_ptr<int> exists,
+                          int moved_try) {
+  // `this` may be gone after the wait, the relay is not.
+  Relay& shared = this->relay;
+  const std::string id = this->facts.attempt_id;
+  const std::string text = ChainText(next);
+  const auto outcome = co_await shared.engines->MoveStream(id, next);
+  const bool taken = outcome && outcome.value() == OrderOutcome::kAccepted;
+  shared.events.Record(EventId::kRelayStreamMoved,
+                       {{"request", id},
+                        {"chain", text},
+                        {"outcome", taken     ? "taken"
+                                    : outcome ? "refused"
+                                              : ToString(outcome.error())}});
+  if (exists.expired() || this->call == nullptr || this->tries != moved_try) {
+    co_return;
+  }
+  if (taken) {
+    this->TakeLoadOff();
+    this->chain = std::move(next);
+    this->PutLoad();
+  } else if (*this->moved_at >= this->last_event_at) {
+    this->GiveUpSilentTry();
+  }
+}
+
+void Exchange::GiveUpSilentTry() {
+  const bool begun = this->try_has_events;
   if (!this->MayRepeat() || this->tries_run + 1 >= this->route->max_attempts) {
     return;  // The deadline ends it.
   }
--- a/packages/relay/src/relay/relay.h
+++ b/packages/relay/src/relay/relay.h
@@ -9,6 +9,7 @@
 #include "foundation/asio.h"
 #include "foundation/event.h"
 #include "relay/deployment.h"
+#include "relay/deployment_store.h"
 #include "relay/protocol.h"
 #include "relay/relay_metrics.h"
 #include "relay/retry_allowance.h"
@@ -59,6 +60,7 @@
   double processes_in_zone = 1;  ///< Processes of this zone, this one included.
   bool other_zones_known = true;  ///< Whether they report their load.
   bool draining = false;
+  EngineControl* engines = nullptr;  ///< Null where there are no engines.
 };
 
 }  // namespace qp::relay
--- a/packages/relay/src/relay/server_choice.cc
+++ b/packages/relay/src/relay/server_choice.cc
@@ -47,6 +47,7 @@
 /// An engine with its predicted cost, and the best chain that ends with it.
 struct Candidate {
   ServerPtr server;
+  LayerRange layers;  ///< Those that it may run.
   double layer_ms = 0;
   double chain_ms = std::numeric_limits<double>::infinity();
   std::uint32_t first = 0;  ///< Of the layers it runs in that chain.
@@ -62,9 +63,9 @@
   void Add(const ServerPtr& server) {
     const auto kind =
         this->profile.accelerators.find(server->record.accelerator);
-    if (kind == this->profile.accelerators.end() ||
-        server->record.layers.empty() ||
-        server->record.layers.end > this->profile.layers) {
+    const LayerRange layers = this->AllowedLayers(*server);
+    if (kind == this->profile.accelerators.end() || layers.empty() ||
+        layers.end > this->profile.layers) {
       return;
     }
     const double taken = this->MemoryTaken(*server, kind->second);
@@ -78,6 +79,7 @@
         (this->query.prompt_tokens + this->query.output_tokens) / 1000;
     Candidate candidate;
     candidate.server = server;
+    candidate.layers = layers;
     candidate.layer_ms =
         kind->second.step_factor / this->profile.layers *
         (this->profile.step_ms +
@@ -89,8 +91,7 @@
   std::optional<Chain> Run() {
     std::sort(this->candidates.begin(), this->candidates.end(),
               [](const Candidate& a, const Candidate& b) {
-                return a.server->record.layers.end <
-                       b.server->record.layers.end;
+                return a.layers.end < b.layers.end;
               });
     for (std::size_t index = 0; index < this->candidates.size(); ++index) {
       this->Relax(index);
@@ -99,6 +100,20 @@
   }
 
  private:
+  /// What the engine holds, less what a fixed first stage does not leave to it.
+  LayerRange AllowedLayers(const Server& server) const {
+    const ChainStage* fixed = this->query.first_stage;
+    const LayerRange held = server.record.layers;
+    if (fixed == nullptr) {
+      return held;
+    }
+    if (fixed->server.get() == &server) {
+      return fixed->layers;
+    }
+    return {std::max(held.first, fixed->layers.end),
+            std::max(held.end, fixed->layers.end)};
+  }
+
   /// Part of the engine's memory for requests that would be taken.
   double MemoryTaken(const Server& server, const Accelerator& kind) const {
     const auto held = server.record.layers.size();
@@ -120,14 +135,14 @@
   /// grow strictly along a chain, so no engine comes twice.
   void Relax(std::size_t index) {
     Candidate& next = this->candidates[index];
-    const LayerRange range = next.server->record.layers;
+    const LayerRange range = next.layers;
     if (range.first == 0) {
       next.chain_ms = range.size() * next.layer_ms;
       next.first = 0;
     }
     for (std::size_t earlier = 0; earlier < index; ++earlier) {
       const Candidate& last = this->candidates[earlier];
-      const LayerRange held = last.server->record.layers;
+      const LayerRange held = last.layers;
       if (held.end >= range.end || held.end < range.first ||
           last.chain_ms == std::numeric_limits<double>::infinity()) {
         continue;
@@ -155,7 +170,7 @@
     for (std::size_t index = 0; index < this->candidates.size(); ++index) {
       const Candidate& last = this->candidates[index];
       const bool complete =
-          last.server->record.layers.end == this->profile.layers &&
+          last.layers.end == this->profile.layers &&
           last.chain_ms < std::numeric_limits<double>::infinity();
       if (complete &&
           (best < 0 || last.chain_ms < this->candidates[best].chain_ms)) {
@@ -241,7 +256,9 @@
       continue;
     }
     usable.push_back(engine);
-    if (!engine->IsSuspect(now)) {
+    const bool fixed =
+        query.first_stage != nullptr && query.first_stage->server == engine;
+    if (fixed || !engine->IsSuspect(now)) {
       trusted.push_back(engine);
     }
   }
--- a/packages/relay/src/relay/server_choice.h
+++ b/packages/relay/src/relay/server_choice.h
@@ -35,6 +35,8 @@
   double peers = 0;
   /// Whether processes of other zones report their load to this one.
   bool other_zones_known = true;
+  /// First stage of the chain, where that is fixed; null if it may be any.
+  const ChainStage* first_stage = nullptr;
 };
 
 /// Tokens for which a request takes memory: its prompt all the time, its output
--- a/packages/relay/tests/relay/layer_keeper_test.cc
+++ b/packages/relay/tests/relay/layer_keeper_test.cc
@@ -41,6 +41,10 @@
     co_return state;
   }
 
+  Task<Result<OrderOutcome>> MoveStream(std::string, Chain) override {
+    co_return OrderOutcome::kRefused;
+  }
+
   std::vector<Order> orders;
   std::map<std::string, std::uint64_t> begun;
   int asked = 0;
--- a/packages/relay/tests/relay/relay_harness.h
+++ b/packages/relay/tests/relay/relay_harness.h
@@ -154,11 +154,23 @@
     return *this->servers.back();
   }
 
+  /// An engine of the service "model", which Configure knows.
+  ScriptedServer& AddEngine(std::string id, LayerRange layers) {
+    ScriptedServer& server = this->AddServer(id, "model");
+    auto record = this->relay.servers.Find(id)->record;
+    record.accelerator = "large";
+    record.layers = layers;
+    this->relay.servers.Put(std::move(record), this->relay.Now());
+    return server;
+  }
+
   void Configure(std::vector<Route> routes) {
     DeploymentConfiguration configuration;
     configuration.version = 1;
     configuration.routes = std::move(routes);
     configuration.services["ledger"].name = "ledger";
+    configuration.services["model"].name = "model";
+    configuration.services["model"].engine = MakeRoomyProfile();
     configuration.has_workspaces = true;
     configuration.workspaces_by_key["k1"].name = "w1";
     this->relay.in_force =
--- a/packages/relay/tests/relay/server_choice_test.cc
+++ b/packages/relay/tests/relay/server_choice_test.cc
@@ -108,6 +108,30 @@
   CHECK(Names(*chain) == std::vector<std::string>{"b0", "b1"});
 }
 
+TEST_CASE("A fixed first stage keeps its layers", "[relay][chains]") {
+  const auto first = MakeEngine("first", "small", {0, 50});
+  const auto spare = MakeEngine("spare", "large", {0, 80});
+  const auto rest = MakeEngine("rest", "middle", {30, 80});
+  const ChainStage fixed{first, {0, 40}};
+  ChoiceQuery query = Query();
+  query.first_stage = &fixed;
+  const auto chain = Choose({first, rest, spare}, query);
+  REQUIRE(chain);
+  REQUIRE(chain->stages.size() == 2);
+  CHECK(chain->stages[0].server == first);
+  CHECK(chain->stages[0].layers == LayerRange{0, 40});
+  CHECK(chain->stages[1].layers == LayerRange{40, 80});
+  SECTION("also while it is doubted") {
+    first->suspect_until = kNow + std::chrono::seconds(1);
+    REQUIRE(Choose({first, rest}, query));
+    CHECK(Names(*Choose({first, rest}, query)) ==
+          std::vector<std::string>{"first", "rest"});
+  }
+  SECTION("and without it there is no chain") {
+    CHECK_FALSE(Choose({rest, spare}, query));
+  }
+}
+
 TEST_CASE("Suspected and excluded engines are passed over", "[relay][chains]") {
   auto suspect = MakeEngine("fast", "large", {0, 80});
   const auto slow = MakeEngine("slow", "small", {0, 80});
--- /dev/null
+++ b/packages/relay/tests/relay/stream_move_test.cc
@@ -0,0 +1,134 @@
+#include <catch2/catch.hpp>
+
+#include "relay/relay_harness.h"
+
+namespace qp::relay::testing {
+
+namespace {
+
+/// Takes orders to move streams, and gives the answer that the test has set.
+class MovingEngines : public EngineControl {
+ public:
+  Task<Result<OrderOutcome>> Hold(ServerRecord, LayerRange,
+                                  std::uint64_t) override {
+    co_return OrderOutcome::kRefused;
+  }
+  Task<Result<EngineState>> Ask(ServerRecord engine) override {
+    co_return Error{ErrorCode::kUnavailable, "ask", engine.id, ""};
+  }
+  Task<Result<OrderOutcome>> MoveStream(std::string attempt_id,
+                                        Chain chain) override {
+    this->moved.push_back(std::move(attempt_id));
+    this->chains.push_back(std::move(chain));
+    co_return this->outcome;
+  }
+
+  std::vector<std::string> moved;
+  std::vector<Chain> chains;
+  OrderOutcome outcome = OrderOutcome::kAccepted;
+};
+
+std::string Event(int id, const std::string& data) {
+  const std::string event =
+      "id: " + std::to_string(id) + "\ndata: " + data + "\n\n";
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
+  return size + event + "\r\n";
+}
+
+/// A stream over the engine "first" and one of two others, which has sent one
+/// event.
+struct World {
+  explicit World(Repeat repeat = Repeat::kResume) {
+    Route route = MakeRoute("/s/", repeat, "model");
+    route.streaming = true;
+    route.timeout = std::chrono::seconds(20);
+    harness.Configure({route});
+    harness.relay.engines = &engines;
+    first = &harness.AddEngine("first", {0, 40});
+    harness.AddEngine("rest", {40, 80});
+    harness.AddEngine("spare", {40, 80});
+    caller = &harness.Call(RelayHarness::Request("/s/x"));
+    REQUIRE(harness.Gets(*first, 1));
+    first->last().channel->Write(
+        "HTTP/1.1 200 OK\r\nAttempt: a1\r\nSignature: s\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n" +
+        Event(1, "a"));
+    REQUIRE(harness.Receives(*caller, "data: a"));
+    // Others' streams go on through the first engine.
+    harness.runtime.Advance(milliseconds(300));
+    harness.relay.servers.Find("first")->NoteProgress(harness.relay.Now());
+  }
+
+  std::uint32_t InFlight(const std::string& id) {
+    return harness.relay.servers.Find(id)->in_flight;
+  }
+
+  RelayHarness harness;
+  MovingEngines engines;
+  ScriptedServer* first = nullptr;
+  Peer* caller = nullptr;
+};
+
+}  // namespace
+
+TEST_CASE("A stream that falls silent goes on over another engine",
+          "[relay][streams]") {
+  World world;
+  const std::string used = world.InFlight("rest") == 1 ? "rest" : "spare";
+  const std::string other = used == "rest" ? "spare" : "rest";
+  world.harness.runtime.Advance(milliseconds(400));
+  REQUIRE(world.harness.Until([&] { return !world.engines.moved.empty(); }));
+  CHECK(world.engines.moved.front() == "a1");
+  const Chain& chain = world.engines.chains.front();
+  REQUIRE(chain.stages.size() == 2);
+  CHECK(chain.stages[0].server->record.id == "first");
+  CHECK(chain.stages[1].server->record.id == other);
+  // The load is counted where the stream runs now.
+  REQUIRE(world.harness.Until([&] { return world.InFlight(used) == 0; }));
+  CHECK(world.InFlight(other) == 1);
+  CHECK(world.InFlight("first") == 1);
+  world.first->last().channel->Write(Event(2, "b") + "0\r\n\r\n");
+  CHECK(world.harness.Receives(*world.caller, "0\r\n\r\n"));
+  CHECK(world.first->requests() == 1);
+  CHECK(world.InFlight(other) == 0);
+}
+
+TEST_CASE("A stream that may not run twice is moved as well",
+          "[relay][streams]") {
+  World world(Repeat::kNever);
+  world.harness.runtime.Advance(milliseconds(400));
+  REQUIRE(world.harness.Until([&] { return !world.engines.moved.empty(); }));
+  world.harness.runtime.Advance(milliseconds(1500));
+  CHECK(world.first->requests() == 1);
+  CHECK_FALSE(world.caller->ended);
+}
+
+TEST_CASE("A stream that can't be moved is resumed", "[relay][streams]") {
+  World world;
+  SECTION("if the first engine refuses the order") {
+    world.engines.outcome = OrderOutcome::kConflict;
+    world.harness.runtime.Advance(milliseconds(400));
+  }
+  SECTION("if it stays silent") {
+    world.harness.runtime.Advance(milliseconds(400));
+    REQUIRE(world.harness.Until([&] { return !world.engines.moved.empty(); }));
+    world.harness.runtime.Advance(milliseconds(800));
+  }
+  CHECK(world.harness.Gets(*world.first, 2));
+  CHECK(world.first->last().received.find("Last: 1") != std::string::npos);
+  CHECK(world.engines.moved.size() == 1);
+}
+
+TEST_CASE("A caller who leaves while a stream is moved ends it",
+          "[relay][streams]") {
+  World world;
+  world.harness.runtime.Advance(milliseconds(400));
+  world.caller->channel->Close();
+  CHECK(world.harness.Until([&] { return world.first->last().ended; }));
+  world.harness.runtime.Advance(milliseconds(2000));
+  CHECK(world.first->requests() == 1);
+  CHECK(world.InFlight("first") == 0);
+}
+
+}  // namespace qp::relay::testing
