--- a/packages/relay/tests/relay/layer_plan_test.cc
+++ b/packages/relay/tests/relay/layer_plan_test.cc
@@ -45,6 +45,15 @@
   return engines;
 }
 
+std::vector<PlannedEngine> MiddleEngines(std::size_t count) {
+  std::vector<PlannedEngine> engines;
+  engines.reserve(count);
+  for (std::size_t index = 0; index < count; ++index) {
+    engines.push_back(Empty("e" + std::to_string(index), "middle"));
+  }
+  return engines;
+}
+
 std::vector<PlannedEngine> Applied(std::vector<PlannedEngine> engines,
                                    const std::vector<LayerOrder>& orders) {
   for (auto& engine : engines) {
@@ -69,10 +78,7 @@
 }
 
 TEST_CASE("A zone of many cards keeps memory for requests", "[relay][layers]") {
-  std::vector<PlannedEngine> engines;
-  for (int index = 0; index < 30; ++index) {
-    engines.push_back(Empty("e" + std::to_string(index), "middle"));
-  }
+  const auto engines = MiddleEngines(30);
   const auto orders = PlanLayers(MakeProfile(), engines);
   for (const auto& order : orders) {
     // What is left holds some hundred requests of 1,000 tokens.
@@ -86,10 +92,7 @@
 
 TEST_CASE("A zone of few cards holds a second copy rather than more requests",
           "[relay][layers]") {
-  std::vector<PlannedEngine> engines;
-  for (int index = 0; index < 10; ++index) {
-    engines.push_back(Empty("e" + std::to_string(index), "middle"));
-  }
+  const auto engines = MiddleEngines(10);
   for (const int count :
        CoverageAfter(engines, PlanLayers(MakeProfile(), engines))) {
     CHECK(count >= 2);
