Name the parts of moving a stream by what they do

AddLoad and RemoveLoad are a pair, OrderMove sends the order, ResumeSilentStream resumes what can't be moved. Comments on planned memory keep to what was measured.

--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -187,7 +187,7 @@
   this->body.clear();
   this->splitter.Reset();
 
-  this->PutLoad();
+  this->AddLoad();
   ForwardFacts forward;
   forward.server_id = target->record.id;
   forward.workspace = this->workspace;
@@ -233,12 +233,12 @@
 }
 
 void Exchange::ReleaseTry() {
-  this->TakeLoadOff();
+  this->RemoveLoad();
   this->call = nullptr;
   this->stream_timer.Cancel();
 }
 
-void Exchange::PutLoad() {
+void Exchange::AddLoad() {
   if (!this->chain) {
     ++this->server->in_flight;
     return;
@@ -254,7 +254,7 @@
   }
 }
 
-void Exchange::TakeLoadOff() {
+void Exchange::RemoveLoad() {
   if (!this->chain) {
     if (this->server != nullptr) {
       this->server->in_flight -= this->server->in_flight > 0 ? 1 : 0;
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -71,13 +71,16 @@
   void AbandonTry();
   /// Takes the load of the try off its servers.
   void ReleaseTry();
-  void PutLoad();
-  void TakeLoadOff();
-  /// Lets a silent stream go on over other engines behind its first one, which
-  /// no server counts as an arrival. False if there is no such chain.
+  void AddLoad();
+  void RemoveLoad();
+  /// Lets a silent stream go on over other engines behind its first one. That
+  /// is no further arrival, so it needs no retry budget. False if there is no
+  /// such chain or the stream was moved in this silence already.
   bool TryMove();
-  Task<void> Move(Chain chain, std::weak_ptr<int> alive, int moved_try);
-  void GiveUpSilentTry();
+  /// `moved_try` tells whether the try that was moved is still under way.
+  Task<void> OrderMove(Chain chain, std::weak_ptr<int> owner, int moved_try);
+  /// Cancels the silent try and goes on with another, as far as allowed.
+  void ResumeSilentStream();
   void FailTry(bool may_have_run, std::string_view why);
   std::vector<ServerPtr> SuspectChain(TimePoint since);
   void WatchStream();
--- a/packages/relay/src/relay/exchange_answers.cc
+++ b/packages/relay/src/relay/exchange_answers.cc
@@ -257,7 +257,7 @@
   if (begun && this->TryMove()) {
     return;
   }
-  this->GiveUpSilentTry();
+  this->ResumeSilentStream();
 }
 
 bool Exchange::TryMove() {
@@ -286,13 +286,13 @@
   this->stream_timer.Start(*this->moved_at + kMoveBound,
                            [this] { this->CheckStream(); });
   asio::co_spawn(this->relay.io,
-                 this->Move(std::move(*next), this->alive, this->tries),
+                 this->OrderMove(std::move(*next), this->alive, this->tries),
                  asio::detached);
   return true;
 }
 
-Task<void> Exchange::Move(Chain next, std::weak_ptr<int> exists,
-                          int moved_try) {
+Task<void> Exchange::OrderMove(Chain next, std::weak_ptr<int> owner,
+                               int moved_try) {
   // `this` may be gone after the wait, the relay is not.
   Relay& shared = this->relay;
   const std::string id = this->facts.attempt_id;
@@ -305,19 +305,19 @@
                         {"outcome", taken     ? "taken"
                                     : outcome ? "refused"
                                               : ToString(outcome.error())}});
-  if (exists.expired() || this->call == nullptr || this->tries != moved_try) {
+  if (owner.expired() || this->call == nullptr || this->tries != moved_try) {
     co_return;
   }
   if (taken) {
-    this->TakeLoadOff();
+    this->RemoveLoad();
     this->chain = std::move(next);
-    this->PutLoad();
+    this->AddLoad();
   } else if (*this->moved_at >= this->last_event_at) {
-    this->GiveUpSilentTry();
+    this->ResumeSilentStream();
   }
 }
 
-void Exchange::GiveUpSilentTry() {
+void Exchange::ResumeSilentStream() {
   const bool begun = this->try_has_events;
   if (!this->MayRepeat() || this->tries_run + 1 >= this->route->max_attempts) {
     return;  // The deadline ends it.
--- a/packages/relay/src/relay/layer_plan.h
+++ b/packages/relay/src/relay/layer_plan.h
@@ -26,11 +26,10 @@
 };
 
 /// Tokens of requests that each engine keeps memory for, at most: some hundred
-/// requests of the usual size, with which a step takes twice as long as with
-/// one. Memory for more would not be used in time.
+/// requests of the usual size. With that many, a step takes about twice as long
+/// as with one.
 inline constexpr double kMostKvTokens = 100'000;
-/// The same at least: some forty requests of the usual size, what an engine
-/// holds on a calm day.
+/// The same at least: some forty requests of the usual size.
 inline constexpr double kLeastKvTokens = 36'000;
 /// Copies of the model in a zone for which memory for requests is given up, so
 /// that the loss of an engine leaves no layer without one.
