--- a/packages/foundation/src/foundation/event.cc
+++ b/packages/foundation/src/foundation/event.cc
@@ -136,6 +136,13 @@
               Severity::kWarning,
               "A running stream that fell silent was to go on over other "
               "engines; the outcome says whether its first engine took it."},
+    EventInfo{EventId::kServerLeaving, "server_leaving", Severity::kInfo,
+              "A backend server said in an answer that it is about to stop and "
+              "gets no more requests."},
+    EventInfo{
+        EventId::kServerPaused, "server_paused", Severity::kWarning,
+        "A backend server refused a request and asked for no more of them "
+        "for a while."},
 };
 
 }  // namespace
--- a/packages/foundation/src/foundation/event.h
+++ b/packages/foundation/src/foundation/event.h
@@ -78,6 +78,8 @@
   kServerListed = 7007,
   kServerUnlisted = 7008,
   kRelayStreamMoved = 7009,
+  kServerLeaving = 7010,
+  kServerPaused = 7011,
 };
 
 /// Catalogue entry of an event.
--- a/packages/http/src/http/client.cc
+++ b/packages/http/src/http/client.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "foundation/wait.h"
+#include "http/append_body.h"
 #include "http/endpoint.h"
 
 namespace qp::http {
@@ -18,7 +19,12 @@
 
 constexpr std::size_t kMaxIdlePerAddress = 16;  // connections
 constexpr Duration kMaxIdleTime = std::chrono::seconds(20);
-constexpr std::uint64_t kMaxResponseBytes = 64 * 1024 * 1024;
+/// Largest answer: the store's pages hold 1 MB of rows before their encoding,
+/// and a change of the configuration arrives whole.
+constexpr std::uint64_t kMaxResponseBytes = 16 * 1024 * 1024;
+/// Largest part of an answer that the parser can't take in pieces: its head, or
+/// a chunk's header with what a server puts behind it.
+constexpr std::size_t kMaxUnparsedBytes = 256 * 1024;
 constexpr std::size_t kMaxLineBytes = 1024 * 1024;
 
 /// Connection to a server with the bound on its present exchange.
@@ -30,7 +36,7 @@
         }) {}
 
   tcp::socket socket;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxUnparsedBytes};
   Watchdog watchdog;
   TimePoint idle_since{};
 };
@@ -76,7 +82,7 @@
 /// Body of a response, read while it arrives.
 class LinkStream : public ResponseStream {
  public:
-  using Parser = beast::http::response_parser<beast::http::string_body>;
+  using Parser = beast::http::response_parser<AppendBody>;
 
   LinkStream(std::string server, std::unique_ptr<Link> open)
       : address(std::move(server)), link(std::move(open)) {
@@ -227,7 +233,7 @@
   if (!written) {
     co_return written.error();
   }
-  beast::http::response_parser<beast::http::string_body> parser;
+  beast::http::response_parser<AppendBody> parser;
   parser.body_limit(kMaxResponseBytes);
   boost::system::error_code failure;
   co_await beast::http::async_read(
@@ -238,7 +244,8 @@
                         failure, link);
   }
   link.watchdog.Disarm();
-  co_return parser.release();
+  auto message = parser.release();
+  co_return Response(std::move(message.base()), std::move(message.body()));
 }
 
 }  // namespace
--- a/packages/relay/src/relay/caller_listener.cc
+++ b/packages/relay/src/relay/caller_listener.cc
@@ -38,34 +38,52 @@
 }
 
 void CallerListener::Accept() {
-  this->acceptor.async_accept([this](boost::system::error_code failure,
-                                     tcp::socket socket) {
-    if (!this->acceptor.is_open()) {
-      return;
-    }
-    if (failure) {
-      this->retry_timer.Start(this->relay.Now() + kAcceptPause,
-                              [this] { this->Accept(); });
-      return;
-    }
-    auto session =
-        std::make_shared<CallerSession>(this->relay, std::move(socket), *this);
-    this->open.emplace(session.get(), session);
-    session->Start();
-    this->Accept();
-  });
+  this->acceptor.async_accept(
+      [this](boost::system::error_code failure, tcp::socket socket) {
+        if (!failure) {
+          this->Serve(std::move(socket));
+        }
+        if (!this->acceptor.is_open()) {
+          return;
+        }
+        if (failure) {
+          this->retry_timer.Start(this->relay.Now() + kAcceptPause,
+                                  [this] { this->Accept(); });
+          return;
+        }
+        this->Accept();
+      });
+}
+
+void CallerListener::Serve(tcp::socket socket) {
+  auto session =
+      std::make_shared<CallerSession>(this->relay, std::move(socket), *this);
+  this->open.emplace(session.get(), session);
+  session->Start();
 }
 
 void CallerListener::StopAccepting() {
-  boost::system::error_code ignored;
-  this->acceptor.close(ignored);
   this->retry_timer.Cancel();
+  if (!this->acceptor.is_open()) {
+    return;
+  }
+  // Callers whose connections wait in the queue take themselves for accepted.
+  boost::system::error_code failure;
+  this->acceptor.non_blocking(true, failure);
+  while (!failure) {
+    tcp::socket socket(this->relay.io);
+    this->acceptor.accept(socket, failure);
+    if (!failure) {
+      this->Serve(std::move(socket));
+    }
+  }
+  this->acceptor.close(failure);
 }
 
 void CallerListener::CloseIdle() {
   std::vector<std::shared_ptr<CallerSession>> idle;
   for (const auto& [key, session] : this->open) {
-    if (session->is_idle()) {
+    if (session->IsIdle()) {
       idle.push_back(session);
     }
   }
--- a/packages/relay/src/relay/caller_listener.h
+++ b/packages/relay/src/relay/caller_listener.h
@@ -19,7 +19,7 @@
   /// The system chooses the port if `address` names port 0.
   Result<void> Listen(std::string_view address);
   std::uint16_t port() const { return this->acceptor.local_endpoint().port(); }
-  /// Takes no new connections.
+  /// Takes the connections that wait to be accepted, and no more.
   void StopAccepting();
   /// Closes connections on which no request is under way.
   void CloseIdle();
@@ -31,6 +31,7 @@
 
  private:
   void Accept();
+  void Serve(asio::ip::tcp::socket socket);
 
   Relay& relay;
   asio::ip::tcp::acceptor acceptor;
--- a/packages/relay/src/relay/caller_session.cc
+++ b/packages/relay/src/relay/caller_session.cc
@@ -1,6 +1,7 @@
 #include "relay/caller_session.h"
 
 #include <boost/beast/http.hpp>
+#include <exception>
 #include <utility>
 
 #include "relay/responses.h"
@@ -17,10 +18,19 @@
       read_timer(shared.timers) {}
 
 void CallerSession::Start() {
+  this->opened_at = this->relay.Now();
   this->NewRequest();
   this->channel->ReadTo(this);
 }
 
+bool CallerSession::IsIdle() const {
+  const bool expected = !this->has_served &&
+                        this->relay.Now() < this->opened_at + kFirstRequestWait;
+  return !this->closed && !this->finishing && this->exchange == nullptr &&
+         this->input.empty() && !this->request_begun && !expected &&
+         !this->channel->has_input();
+}
+
 const CallerLimits& CallerSession::Limits() const {
   static const CallerLimits kDefaults;
   return this->relay.in_force == nullptr
@@ -47,6 +57,30 @@
 
 void CallerSession::OnBytes(std::string_view bytes) {
   const auto self = this->shared_from_this();
+  if (this->finishing) {
+    return;
+  }
+  try {
+    this->Read(bytes);
+  } catch (const std::exception& failure) {
+    // One caller's bytes must not end the process with all its requests.
+    this->relay.events.Record(
+        EventId::kRelayRequestFinished,
+        {{"outcome", "aborted"}, {"why", failure.what()}});
+    this->Close();
+  }
+}
+
+void CallerSession::OnWritten() {
+  const auto self = this->shared_from_this();
+  if (this->finishing) {
+    this->EndWrites();
+  } else if (this->exchange != nullptr) {
+    this->exchange->OnSinkWritten();
+  }
+}
+
+void CallerSession::Read(std::string_view bytes) {
   this->input.append(bytes);
   if (this->exchange != nullptr) {
     if (this->input.size() > kMaxPipelined) {
@@ -63,7 +97,8 @@
   }
   // A request may be answered while it is dispatched; the next one then lies
   // in the input already.
-  while (!this->closed && this->exchange == nullptr && !this->input.empty()) {
+  while (!this->closed && !this->finishing && this->exchange == nullptr &&
+         !this->input.empty()) {
     if (!std::exchange(this->request_begun, true)) {
       this->begun_at = this->relay.Now();
       this->read_timer.Start(
@@ -112,7 +147,8 @@
 
 void CallerSession::Dispatch() {
   this->read_timer.Cancel();
-  http::Request request = this->parser->release();
+  auto message = this->parser->release();
+  http::Request request(std::move(message.base()), std::move(message.body()));
   this->keep_alive = request.keep_alive();
   this->exchange = std::make_unique<Exchange>(this->relay, std::move(request),
                                               this->begun_at, *this);
@@ -132,12 +168,9 @@
   const auto self = this->shared_from_this();
   const bool open = this->keeps_open();
   this->exchange.reset();
+  this->has_served = true;
   if (!open) {
-    this->closed = true;
-    this->read_timer.Cancel();
-    this->channel->ReadTo(nullptr);
-    this->channel->CloseAfterWrites();
-    this->owner.OnSessionClosed(this);
+    this->CloseAfterWrites(this->channel->has_input());
     return;
   }
   this->NewRequest();
@@ -166,11 +199,30 @@
       EventId::kRelayRequestFinished,
       {{"outcome", std::to_string(status)}, {"why", std::string(why)}});
   this->channel->Write(WriteOwnAnswer({status, why, std::nullopt}, false));
-  this->closed = true;
-  this->read_timer.Cancel();
-  this->channel->ReadTo(nullptr);
-  this->channel->CloseAfterWrites();
-  this->owner.OnSessionClosed(this);
+  this->CloseAfterWrites(true);
+}
+
+void CallerSession::CloseAfterWrites(bool linger) {
+  this->finishing = true;
+  this->lingers = linger;
+  this->channel->Resume();
+  if (this->channel->unsent() == 0) {
+    this->EndWrites();
+    return;
+  }
+  this->read_timer.Start(this->relay.Now() + kLastWriteBound,
+                         [this] { this->Close(); });
+}
+
+void CallerSession::EndWrites() {
+  if (!this->lingers) {
+    this->Close();
+    return;
+  }
+  this->lingers = false;
+  this->channel->EndWrites();
+  this->read_timer.Start(this->relay.Now() + kLinger,
+                         [this] { this->Close(); });
 }
 
 void CallerSession::OnEnd(const boost::system::error_code&) {
--- a/packages/relay/src/relay/caller_session.h
+++ b/packages/relay/src/relay/caller_session.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "http/append_body.h"
 #include "relay/channel.h"
 #include "relay/exchange.h"
 #include "relay/relay.h"
@@ -29,28 +30,37 @@
   CallerSession(Relay& relay, Channel::Socket socket, SessionOwner& owner);
 
   void Start();
-  bool is_idle() const {
-    return this->exchange == nullptr && this->input.empty() &&
-           !this->request_begun;
-  }
+  /// Whether a planned stop may close the connection: no request is under way
+  /// or on its way. A caller who has just connected is about to send one.
+  bool IsIdle() const;
   /// Ends the session at once; a request under way is cancelled.
   void Close();
 
   void OnBytes(std::string_view bytes) override;
   void OnEnd(const boost::system::error_code& failure) override;
+  void OnWritten() override;
 
   void Write(std::string_view bytes) override;
   void Finish() override;
   void Abort() override;
+  std::size_t unsent() const override { return this->channel->unsent(); }
   bool keeps_open() const override;
 
  private:
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::request_parser<http::AppendBody>;
 
   /// Input kept while a request is under way; a caller who sends more is
   /// slowed down.
   static constexpr std::size_t kMaxPipelined = 64 * 1024;
+  /// Time after its connection within which a caller's first request is
+  /// awaited, also during a planned stop.
+  static constexpr Duration kFirstRequestWait = std::chrono::milliseconds(1000);
+  /// Time for which input is thrown away after a refusal in the middle of a
+  /// request. A connection that is closed with unread bytes is reset, and the
+  /// reset can overtake the refusal.
+  static constexpr Duration kLinger = std::chrono::milliseconds(1000);
+  /// Longest wait for a caller to take its last answer.
+  static constexpr Duration kLastWriteBound = std::chrono::seconds(10);
 
   const CallerLimits& Limits() const;
   void NewRequest();
@@ -58,6 +68,10 @@
   void Dispatch();
   void ContinueIfExpected();
   void Reject(unsigned status, std::string_view why);
+  void Read(std::string_view bytes);
+  /// Ends the session once the caller has taken its last answer.
+  void CloseAfterWrites(bool linger);
+  void EndWrites();
   void WaitForRequest();
 
   Relay& relay;
@@ -71,6 +85,10 @@
   bool parsing = false;
   bool answer_begun = false;
   bool closed = false;
+  bool finishing = false;  ///< Only writes are left to be done.
+  bool lingers = false;    ///< The caller may still be sending then.
+  bool has_served = false;
+  TimePoint opened_at{};
   TimePoint begun_at{};
   ScopedTimer read_timer;
   std::unique_ptr<Exchange> exchange;
--- a/packages/relay/src/relay/channel.cc
+++ b/packages/relay/src/relay/channel.cc
@@ -82,7 +82,7 @@
 }
 
 void Channel::ReadReady(const error_code& failure) {
-  if (!this->is_open()) {
+  if (!this->is_open() || this->paused) {
     return;
   }
   if (failure) {
@@ -163,18 +163,21 @@
     this->WaitForRoom();
     return;
   }
-  this->pending.clear();
+  this->pending = {};
   this->sent = 0;
-  if (this->closing) {
-    this->Close();
+  if (this->target != nullptr) {
+    this->target->OnWritten();
   }
 }
 
-void Channel::CloseAfterWrites() {
-  this->closing = true;
-  if (this->unsent() == 0) {
-    this->Close();
-  }
+void Channel::EndWrites() {
+  error_code ignored;  // The reader learns of it from its next read.
+  this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+bool Channel::has_input() const {
+  error_code failure;
+  return this->is_open() && this->socket.available(failure) > 0;
 }
 
 void Channel::Close() {
--- a/packages/relay/src/relay/channel.h
+++ b/packages/relay/src/relay/channel.h
@@ -15,12 +15,15 @@
  public:
   virtual ~ChannelReader() = default;
   virtual void OnBytes(std::string_view bytes) = 0;
+  /// Everything that was written has left, after some of it had to wait.
+  virtual void OnWritten() {}
   /// The peer closed (`failure` empty) or the connection broke.
   virtual void OnEnd(const boost::system::error_code& failure) = 0;
 };
 
-/// A TCP connection with unbounded, buffered writes and pushed reads. Reads
-/// share one buffer per thread, so an idle connection holds no memory.
+/// A TCP connection with buffered writes and pushed reads. Reads share one
+/// buffer per thread, so an idle connection holds no memory. Writes are not
+/// bounded: who writes looks at `unsent` and waits for OnWritten.
 class Channel : public std::enable_shared_from_this<Channel> {
  public:
   using Socket = asio::ip::tcp::socket;
@@ -39,11 +42,13 @@
   void Pause() { this->paused = true; }
   void Resume();
   void Write(std::string_view bytes);
-  /// Closes once everything is written.
-  void CloseAfterWrites();
+  /// Tells the peer that nothing more will be written.
+  void EndWrites();
   void Close();
 
   bool is_open() const { return this->socket.is_open() && !this->closed; }
+  /// Whether bytes of the peer have arrived that nobody has read.
+  bool has_input() const;
   /// Bytes that the peer has not taken yet.
   std::size_t unsent() const { return this->pending.size() - this->sent; }
   /// Bytes handed to the operating system so far.
@@ -61,7 +66,6 @@
   bool reading = false;
   bool paused = false;
   bool writing = false;
-  bool closing = false;
   bool closed = false;
   std::string pending;
   std::size_t sent = 0;
--- a/packages/relay/src/relay/event_splitter.cc
+++ b/packages/relay/src/relay/event_splitter.cc
@@ -6,13 +6,14 @@
 
 namespace {
 
-/// Value of the event's line "id: N".
-std::optional<std::uint64_t> IdOf(std::string_view event) {
+/// Reads the lines of an event that matter to the relay.
+void ReadLines(std::string_view event, StreamEvent& target) {
   while (!event.empty()) {
     const auto end = event.find('\n');
     std::string_view line = event.substr(0, end);
     event = end == std::string_view::npos ? std::string_view{}
                                           : event.substr(end + 1);
+    target.has_data = target.has_data || line.substr(0, 5) == "data:";
     if (line.substr(0, 3) != "id:") {
       continue;
     }
@@ -23,9 +24,10 @@
     std::uint64_t id = 0;
     const auto result =
         std::from_chars(line.data(), line.data() + line.size(), id);
-    return result.ec == std::errc{} ? std::optional(id) : std::nullopt;
+    if (result.ec == std::errc{}) {
+      target.id = id;
+    }
   }
-  return std::nullopt;
 }
 
 }  // namespace
@@ -53,7 +55,7 @@
     }
     StreamEvent event;
     event.bytes = text.substr(this->begin, this->scanned - this->begin);
-    event.id = IdOf(event.bytes);
+    ReadLines(event.bytes, event);
     this->begin = this->scanned;
     return event;
   }
--- a/packages/relay/src/relay/event_splitter.h
+++ b/packages/relay/src/relay/event_splitter.h
@@ -11,6 +11,7 @@
 struct StreamEvent {
   std::string_view bytes;  ///< With its closing blank line.
   std::optional<std::uint64_t> id;
+  bool has_data = false;  ///< It is more than a comment.
 };
 
 /// Cuts a stream's body into whole events. A server may break off in the
@@ -23,7 +24,10 @@
   std::optional<StreamEvent> Next();
   /// Forgets an event that was cut off.
   void Reset();
-  bool has_partial_event() const { return this->begin < this->buffer.size(); }
+  /// Bytes of an event that is not whole yet.
+  std::size_t partial_bytes() const {
+    return this->buffer.size() - this->begin;
+  }
 
  private:
   std::string buffer;
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -13,9 +13,6 @@
 
 using std::chrono::milliseconds;
 
-/// Requests sent for one request of a caller, refused ones included. Bounds
-/// the time that a request spends on servers that turn it away.
-constexpr int kMaxTries = 5;
 /// With less time left, no answer of a server could arrive.
 constexpr Duration kLeastRemaining = milliseconds(20);
 /// A server is told to stop this much before the caller's deadline, so that
@@ -40,7 +37,7 @@
       sink(answers),
       arrived(at),
       deadline_timer(shared.timers),
-      stream_timer(shared.timers) {}
+      progress_timer(shared.timers) {}
 
 Exchange::~Exchange() { this->AbandonTry(); }
 
@@ -136,7 +133,8 @@
     return;
   }
   this->relay.servers.Expire(this->relay.Now());
-  if (!this->ChooseTarget()) {
+  Target target = this->ChooseTarget(this->excluded);
+  if (target.server == nullptr) {
     this->GiveUp("no server can take it");
     return;
   }
@@ -145,7 +143,7 @@
     this->GiveUp("the retry budget is used up");
     return;
   }
-  this->SendTo(this->server);
+  this->SendTo(std::move(target));
 }
 
 ChoiceQuery Exchange::MakeQuery() const {
@@ -159,25 +157,27 @@
   return query;
 }
 
-bool Exchange::ChooseTarget() {
-  const ChoiceQuery query = this->MakeQuery();
+Target Exchange::ChooseTarget(std::span<const std::string> avoided) {
+  ChoiceQuery query = this->MakeQuery();
+  query.excluded = avoided;
   const auto servers = this->relay.servers.Of(this->service->name);
-  this->chain.reset();
-  this->server = nullptr;
-  if (this->service->engine) {
-    this->chain = ChooseChain(*this->service->engine, servers, query,
-                              this->relay.Now(), this->relay.random);
-    if (this->chain) {
-      this->server = this->chain->stages.front().server;
-    }
-  } else {
-    this->server =
+  Target target;
+  if (!this->service->engine) {
+    target.server =
         ChooseServer(servers, query, this->relay.Now(), this->relay.random);
+    return target;
   }
-  return this->server != nullptr;
+  target.chain = ChooseChain(*this->service->engine, servers, query,
+                             this->relay.Now(), this->relay.random);
+  if (target.chain) {
+    target.server = target.chain->stages.front().server;
+  }
+  return target;
 }
 
-void Exchange::SendTo(const ServerPtr& target) {
+void Exchange::SendTo(Target target) {
+  this->server = std::move(target.server);
+  this->chain = std::move(target.chain);
   ++this->tries;
   this->try_began = this->relay.Now();
   this->last_event_at = this->try_began;
@@ -186,10 +186,11 @@
   this->head.reset();
   this->body.clear();
   this->splitter.Reset();
+  this->slowed_down = false;
 
   this->AddLoad();
   ForwardFacts forward;
-  forward.server_id = target->record.id;
+  forward.server_id = this->server->record.id;
   forward.workspace = this->workspace;
   forward.deadline = this->Remaining() - kDeadlineMargin;
   forward.last_event_id = this->last_event_id;
@@ -197,13 +198,13 @@
   forward.urgency = std::clamp(this->priority + kDefaultUrgency - 1, 0, 9);
   this->call = std::make_shared<UpstreamCall>(
       this->relay.io, this->relay.timers, this->relay.pool,
-      this->relay.protocol, target, *this);
+      this->relay.protocol, this->server, *this);
   // A kept connection may be closing already, and the caller of a request
   // that must not run twice could then only be told that it may have run.
   const bool fresh = !this->MayRepeat();
   const auto started = this->call;
-  if (this->route->streaming) {
-    this->WatchStream();
+  if (this->route->streaming || this->MayRepeat()) {
+    this->WatchProgress();
   }
   started->Start(this->facts.attempt_id,
                  this->relay.protocol.WriteRequest(this->request, forward),
@@ -235,7 +236,7 @@
 void Exchange::ReleaseTry() {
   this->RemoveLoad();
   this->call = nullptr;
-  this->stream_timer.Cancel();
+  this->progress_timer.Cancel();
 }
 
 void Exchange::AddLoad() {
@@ -275,7 +276,9 @@
   if (may_have_run) {
     this->may_have_run = true;
     ++this->tries_run;
-    if (!this->MayRepeat()) {
+    // Only a stream can go on where another server's answer broke off.
+    const bool cut = this->answer_begun && !this->route->streaming;
+    if (!this->MayRepeat() || cut) {
       this->GiveUp(why);
       return;
     }
@@ -290,7 +293,7 @@
     this->EndTry(false);
     this->may_have_run = true;
   }
-  if (this->stream_begun) {
+  if (this->answer_begun) {
     this->NoteFinished("aborted", this->last_failure);
     this->sink.Abort();
     return;
@@ -303,7 +306,7 @@
 }
 
 void Exchange::GiveUp(std::string_view why) {
-  if (this->stream_begun) {
+  if (this->answer_begun) {
     this->NoteFinished("aborted", why);
     this->sink.Abort();
     return;
@@ -312,15 +315,24 @@
     this->Refuse({502, why, std::nullopt});
     return;
   }
+  this->Refuse({503, why, this->ReturnTime()});
+}
+
+Duration Exchange::ReturnTime() {
+  const TimePoint now = this->relay.Now();
+  const auto pause =
+      EndOfCommonPause(this->relay.servers.Of(this->service->name), now);
+  if (pause) {
+    return *pause - now;
+  }
   const Duration wished = this->route->streaming ? kRetryStream : kRetryPlain;
   const auto longest = std::chrono::duration_cast<Duration>(
       std::max(this->Remaining(), Duration{0}) * kRetryShare);
   // Spread, so that callers don't come back together.
   const double spread =
       std::uniform_real_distribution<double>(0.7, 1.3)(this->relay.random);
-  const auto retry_after =
-      std::min(std::chrono::duration_cast<Duration>(wished * spread), longest);
-  this->Refuse({503, why, retry_after});
+  return std::min(std::chrono::duration_cast<Duration>(wished * spread),
+                  longest);
 }
 
 void Exchange::Refuse(const OwnAnswer& answer) {
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,15 +26,27 @@
   /// Closes the connection, so that a begun answer is visibly cut short; the
   /// exchange is destroyed by this call.
   virtual void Abort() = 0;
+  /// Bytes that the caller has not taken yet.
+  virtual std::size_t unsent() const = 0;
   /// Whether the connection stays open after this answer.
   virtual bool keeps_open() const = 0;
 };
 
+/// A server to send a request to, first of its chain where there is one.
+struct Target {
+  ServerPtr server;
+  std::optional<Chain> chain;
+};
+
 /// One request of a caller, from its arrival to its final answer: finds its
 /// route, chooses servers, and repeats or resumes it as far as its route
 /// allows.
 class Exchange : public CallListener {
  public:
+  /// Requests sent for one request of a caller, refused ones included. Bounds
+  /// the time that a request spends on servers that turn it away.
+  static constexpr int kMaxTries = 5;
+
   Exchange(Relay& relay, http::Request request, TimePoint arrived,
            AnswerSink& sink);
   ~Exchange() override;
@@ -41,29 +54,49 @@
   void Start();
   /// The caller has left: ends the work at the server.
   void Cancel();
+  /// The caller has taken all that was written.
+  void OnSinkWritten();
 
+  void OnServerFacts(unsigned status, const ResponseFacts& facts) override;
   void OnResponse(ResponseHead head) override;
   void OnBody(std::string_view bytes) override;
   void OnComplete() override;
   void OnFailure(CallFailure failure) override;
 
  private:
+  /// What the head of an answer other than a stream leads to.
+  enum class Verdict {
+    kForward,
+    kNotExecuted,  ///< The request has not run; another server may take it.
+    kUnsigned,     ///< Not the server's word, and must not look like it.
+    kRepeat,
+    kConceal,  ///< The caller gets a failure of the relay's own.
+  };
+
   /// Checks what can be answered without a server; false if it was answered.
   bool Admit();
   bool CheckKey(const DeploymentConfiguration& configuration);
   void PickService();
   void TryServers();
   ChoiceQuery MakeQuery() const;
-  bool ChooseTarget();
-  void SendTo(const ServerPtr& server);
+  /// Where the request would go now; its server is null if there is none.
+  Target ChooseTarget(std::span<const std::string> avoided);
+  void SendTo(Target target);
+  Verdict ReadVerdict() const;
+  void HandleNotExecuted();
+  /// Ends the try at the head of an answer whose body nobody needs.
+  void DropAnswer(bool good);
+  /// Ends the try because of what its server has sent.
+  void FailAnswer(std::string detail);
   /// Whether the answer under way is a stream of events to be passed on.
   bool IsStream() const;
   void HandleEvents();
-  void BeginStream();
+  void NoteEvents();
+  void BeginAnswer();
   void CompleteStream();
-  void CompletePlain();
+  /// Stops reading while the caller does not take what there is.
+  void SlowDownServer();
   void NoteRefusal(Server& refuser, unsigned status);
-  void ForwardAnswer();
   /// Ends the try under way and accounts for its outcome.
   void EndTry(bool good);
   /// The same where nobody waits for the answer any more. That says nothing
@@ -79,14 +112,18 @@
   bool TryMove();
   /// `moved_try` tells whether the try that was moved is still under way.
   Task<void> OrderMove(Chain chain, std::weak_ptr<int> owner, int moved_try);
-  /// Cancels the silent try and goes on with another, as far as allowed.
-  void ResumeSilentStream();
+  /// Cancels the silent try and goes on with another. Without another server
+  /// or the budget to ask it the try goes on: its server may only be slow.
+  void ReplaceSilentTry();
   void FailTry(bool may_have_run, std::string_view why);
   std::vector<ServerPtr> SuspectChain(TimePoint since);
-  void WatchStream();
-  void CheckStream();
+  /// Starts the time within which the try has to make progress.
+  void WatchProgress();
+  void CheckProgress();
   void TimeOut();
   void GiveUp(std::string_view why);
+  /// Time after which a caller whose request has not run should come back.
+  Duration ReturnTime();
   void Refuse(const OwnAnswer& answer);
   void NoteFinished(std::string_view outcome, std::string_view why);
   bool MayRepeat() const { return this->route->repeat != Repeat::kNever; }
@@ -104,7 +141,7 @@
   int priority = 0;
   TimePoint deadline{};
   ScopedTimer deadline_timer;
-  ScopedTimer stream_timer;
+  ScopedTimer progress_timer;
 
   // The try under way.
   std::shared_ptr<UpstreamCall> call;
@@ -121,9 +158,10 @@
   std::vector<std::string> excluded;
   std::string last_failure;
 
-  // The stream to the caller.
+  // The answer to the caller.
   EventSplitter splitter;
-  bool stream_begun = false;
+  bool answer_begun = false;  ///< Its head has been written.
+  bool slowed_down = false;   ///< The server waits for the caller.
   std::optional<std::uint64_t> last_event_id;
   TimePoint last_event_at{};  ///< Or the beginning of the try.
   bool try_has_events = false;
--- a/packages/relay/src/relay/exchange_answers.cc
+++ b/packages/relay/src/relay/exchange_answers.cc
@@ -1,5 +1,5 @@
-// Answers of servers within an exchange: what is passed on, what is tried
-// again and what a silent stream means.
+// Answers of servers within an exchange: what is passed on and what is tried
+// again.
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -12,29 +12,114 @@
 
 namespace {
 
-using std::chrono::milliseconds;
-
-/// Longest wait for the first event of a stream: half as long again as the
-/// latency objective, at least this. Callers leave after four objectives.
-constexpr Duration kLeastFirstEvent = milliseconds(700);
-constexpr double kFirstEventObjectives = 1.6;
-/// Longest silence in a stream. Callers leave after a gap of 2 s; a gap of
-/// 200 ms makes the answer late.
-constexpr Duration kLongestGap = milliseconds(600);
-/// Longest wait for the next event of a stream that was to go on over other
-/// engines: they read some thousand tokens, at a hundred a millisecond and
-/// slowed by other work. With the gap before it, callers still wait.
-constexpr Duration kMoveBound = milliseconds(700);
+/// Status with which a server turns a request away for now.
+constexpr unsigned kUnavailableStatus = 503;
+/// Status of a server that is not the one that the request names.
+constexpr unsigned kWrongServerStatus = 421;
+constexpr unsigned kFirstServerError = 500;
+/// Largest plain answer that is held until it is whole, so that the request can
+/// still be tried elsewhere; longer ones are passed on as they arrive.
+constexpr std::size_t kMaxHeldBytes = 64 * 1024;
+/// Largest event of a stream; servers send some hundred bytes in one.
+constexpr std::size_t kMaxEventBytes = 64 * 1024;
+/// Bytes that wait for a slow caller before its server is slowed down.
+constexpr std::size_t kMaxUnsentBytes = 64 * 1024;
 
 }  // namespace
 
-void Exchange::OnResponse(ResponseHead received) {
-  const ResponseFacts& answer = received.facts;
+void Exchange::OnServerFacts(unsigned status, const ResponseFacts& answer) {
+  Server& told = *this->server;
   if (answer.running) {
-    this->server->reported_busy = *answer.running + answer.waiting.value_or(0);
-    this->server->reported_at = this->relay.Now();
+    told.reported_busy = *answer.running + answer.waiting.value_or(0);
+    told.reported_at = this->relay.Now();
+  }
+  if (answer.leaving && !std::exchange(told.leaving, true)) {
+    this->relay.events.Record(
+        EventId::kServerLeaving,
+        {{"server", told.record.id}, {"request", this->facts.attempt_id}});
   }
+  if (status == kUnavailableStatus && answer.retry_after) {
+    told.NotePause(this->relay.Now(), *answer.retry_after);
+    this->relay.events.Record(EventId::kServerPaused,
+                              {{"server", told.record.id},
+                               {"request", this->facts.attempt_id},
+                               {"ms", MillisText(*answer.retry_after)}});
+  }
+}
+
+void Exchange::OnResponse(ResponseHead received) {
   this->head = std::move(received);
+  if (this->IsStream()) {
+    return;
+  }
+  this->progress_timer.Cancel();
+  switch (this->ReadVerdict()) {
+    case Verdict::kForward:
+      return;  // Once its body has come.
+    case Verdict::kNotExecuted:
+      this->HandleNotExecuted();
+      return;
+    case Verdict::kUnsigned:
+      this->DropAnswer(false);
+      this->excluded.push_back(this->server->record.id);
+      this->FailTry(true, "the answer is not signed");
+      return;
+    case Verdict::kRepeat:
+      this->DropAnswer(false);
+      this->excluded.push_back(this->server->record.id);
+      this->FailTry(true, "failed with " + std::to_string(this->head->status));
+      return;
+    case Verdict::kConceal:
+      this->DropAnswer(this->head->status < kFirstServerError);
+      this->may_have_run = true;
+      this->GiveUp("the server failed");
+      return;
+  }
+}
+
+Exchange::Verdict Exchange::ReadVerdict() const {
+  const unsigned status = this->head->status;
+  const ResponseFacts& answer = this->head->facts;
+  const bool refused =
+      status == kWrongServerStatus ||
+      (answer.not_executed && (IsRefusal(status) || status == 400));
+  if (refused) {
+    return Verdict::kNotExecuted;
+  }
+  if (IsSuccess(status) && !answer.is_signed) {
+    return Verdict::kUnsigned;
+  }
+  const bool may_repeat =
+      this->MayRepeat() && this->tries_run + 1 < this->route->max_attempts;
+  if (status >= kFirstServerError && may_repeat) {
+    return Verdict::kRepeat;
+  }
+  // Only a server that says so has not run the request, and a stream that has
+  // begun can't become another answer.
+  return IsRefusal(status) || this->answer_begun ? Verdict::kConceal
+                                                 : Verdict::kForward;
+}
+
+void Exchange::DropAnswer(bool good) {
+  this->call->Discard();
+  this->EndTry(good);
+}
+
+void Exchange::HandleNotExecuted() {
+  const unsigned status = this->head->status;
+  const ResponseFacts& answer = this->head->facts;
+  const ServerPtr culprit =
+      answer.failed_address.empty()
+          ? nullptr
+          : this->relay.servers.FindByAddress(answer.failed_address);
+  const ServerPtr refuser = culprit != nullptr ? culprit : this->server;
+  this->DropAnswer(true);
+  this->NoteRefusal(*refuser, status);
+  if (status == kUnavailableStatus && answer.retry_after) {
+    refuser->NotePause(this->relay.Now(), *answer.retry_after);
+  }
+  this->excluded.push_back(refuser->record.id);
+  this->FailTry(false, "refused with " + std::to_string(status));
 }
 
 bool Exchange::IsStream() const {
@@ -43,16 +128,48 @@
 }
 
 void Exchange::OnBody(std::string_view bytes) {
-  if (!this->IsStream()) {
+  if (this->IsStream()) {
+    this->splitter.Append(bytes);
+    this->HandleEvents();
+    if (this->splitter.partial_bytes() > kMaxEventBytes) {
+      this->FailAnswer("an event is too long");
+      return;
+    }
+  } else if (this->answer_begun) {
+    this->sink.Write(WriteChunk(bytes));
+  } else {
     this->body.append(bytes);
+    if (this->body.size() > kMaxHeldBytes) {
+      this->BeginAnswer();
+      this->sink.Write(WriteChunk(std::exchange(this->body, {})));
+    }
+  }
+  this->SlowDownServer();
+}
+
+void Exchange::SlowDownServer() {
+  if (this->call != nullptr && this->sink.unsent() > kMaxUnsentBytes) {
+    this->slowed_down = true;
+    this->progress_timer.Cancel();
+    this->call->Pause();
+  }
+}
+
+void Exchange::OnSinkWritten() {
+  if (this->call == nullptr || !std::exchange(this->slowed_down, false)) {
     return;
   }
-  this->splitter.Append(bytes);
-  this->HandleEvents();
+  // The silence was the caller's.
+  this->last_event_at = this->relay.Now();
+  if (this->route->streaming) {
+    this->WatchProgress();
+  }
+  this->call->Resume();
 }
 
 void Exchange::HandleEvents() {
   std::string chunk;
+  bool progress = false;
   while (auto event = this->splitter.Next()) {
     if (event->id && this->last_event_id &&
         *event->id <= *this->last_event_id) {
@@ -61,16 +178,26 @@
     if (event->id) {
       this->last_event_id = event->id;
     }
+    // Comments keep a connection open; they are no sign of work.
+    progress = progress || event->has_data;
     chunk.append(event->bytes);
   }
   if (chunk.empty()) {
     return;
   }
+  if (progress) {
+    this->NoteEvents();
+  }
+  this->BeginAnswer();
+  this->sink.Write(WriteChunk(chunk));
+}
+
+void Exchange::NoteEvents() {
   const TimePoint now = this->relay.Now();
   this->last_event_at = now;
   const bool first = !std::exchange(this->try_has_events, true);
   if (first) {
-    this->WatchStream();
+    this->WatchProgress();
   }
   for (const auto& stage :
        this->chain ? this->chain->stages : std::vector<ChainStage>{}) {
@@ -79,16 +206,16 @@
       stage.server->NoteAccepted(this->try_began);
     }
   }
-  this->BeginStream();
-  this->sink.Write(WriteChunk(chunk));
 }
 
-void Exchange::BeginStream() {
-  if (std::exchange(this->stream_begun, true)) {
+void Exchange::BeginAnswer() {
+  if (std::exchange(this->answer_begun, true)) {
     return;
   }
-  this->relay.metrics.Observe("quetzalpost_first_event_seconds",
-                              this->relay.Now() - this->arrived);
+  if (this->route->streaming) {
+    this->relay.metrics.Observe("quetzalpost_first_event_seconds",
+                                this->relay.Now() - this->arrived);
+  }
   this->sink.Write(WriteChunkedHead(this->head->status, this->head->headers,
                                     this->sink.keeps_open()));
 }
@@ -96,55 +223,41 @@
 void Exchange::OnComplete() {
   if (this->IsStream()) {
     this->CompleteStream();
+    return;
+  }
+  this->EndTry(this->head->status < kFirstServerError);
+  if (this->answer_begun) {
+    this->sink.Write(kLastChunk);
   } else {
-    this->CompletePlain();
+    this->sink.Write(WriteResponse(this->head->status, this->head->headers,
+                                   this->body, this->sink.keeps_open()));
   }
+  const unsigned status = this->head->status;
+  this->NoteFinished(IsSuccess(status) ? "served" : "server_failed",
+                     std::to_string(status));
+  this->sink.Finish();
 }
 
 void Exchange::CompleteStream() {
-  if (this->splitter.has_partial_event()) {
+  if (this->splitter.partial_bytes() > 0) {
     this->EndTry(false);
     this->FailTry(true, "the stream ended inside of an event");
     return;
   }
   this->EndTry(true);
-  this->BeginStream();
+  this->BeginAnswer();
   this->sink.Write(kLastChunk);
   this->NoteFinished("served", "");
   this->sink.Finish();
 }
 
-void Exchange::CompletePlain() {
-  const unsigned status = this->head->status;
-  const bool not_executed =
-      status == 421 || (IsRefusal(status) && this->head->facts.not_executed) ||
-      (status == 400 && this->head->facts.not_executed);
-  if (not_executed) {
-    const auto& failed = this->head->facts.failed_address;
-    const ServerPtr culprit =
-        failed.empty() ? nullptr : this->relay.servers.FindByAddress(failed);
-    const ServerPtr refuser = culprit != nullptr ? culprit : this->server;
-    this->EndTry(true);
-    this->NoteRefusal(*refuser, status);
-    this->excluded.push_back(refuser->record.id);
-    this->FailTry(false, "refused with " + std::to_string(status));
-    return;
-  }
-  const bool success = IsSuccess(status);
-  if (success && !this->head->facts.is_signed) {
-    this->EndTry(false);
-    this->excluded.push_back(this->server->record.id);
-    this->FailTry(true, "the answer is not signed");
-    return;
-  }
-  this->EndTry(status < 500);
-  const bool retry = status >= 500 && this->MayRepeat();
-  if (retry && this->tries_run + 1 < this->route->max_attempts) {
-    this->excluded.push_back(this->server->record.id);
-    this->FailTry(true, "failed with " + std::to_string(status));
-    return;
-  }
-  this->ForwardAnswer();
+void Exchange::FailAnswer(std::string detail) {
+  this->call->Cancel();
+  CallFailure failure;
+  failure.may_have_run = true;
+  failure.error = {ErrorCode::kProtocol, "upstream.answer",
+                   this->server->record.address, std::move(detail)};
+  this->OnFailure(std::move(failure));
 }
 
 void Exchange::NoteRefusal(Server& refuser, unsigned status) {
@@ -166,25 +279,6 @@
        {"accelerator", refuser.record.accelerator}});
 }
 
-void Exchange::ForwardAnswer() {
-  if (this->stream_begun) {
-    this->NoteFinished("aborted", "the stream could not be resumed");
-    this->sink.Abort();
-    return;
-  }
-  const unsigned status = this->head->status;
-  if (IsRefusal(status)) {
-    // Only a server that says so has not run the request.
-    this->Refuse({502, "the server failed", std::nullopt});
-    return;
-  }
-  this->sink.Write(WriteResponse(status, this->head->headers, this->body,
-                                 this->sink.keeps_open()));
-  this->NoteFinished(IsSuccess(status) ? "served" : "server_failed",
-                     std::to_string(status));
-  this->sink.Finish();
-}
-
 void Exchange::OnFailure(CallFailure failure) {
   this->EndTry(false);
   const ServerPtr target = this->server;
@@ -212,129 +306,4 @@
   this->FailTry(failure.may_have_run, failure.error.detail);
 }
 
-std::vector<ServerPtr> Exchange::SuspectChain(TimePoint since) {
-  const TimePoint now = this->relay.Now();
-  std::vector<ServerPtr> silent;
-  for (const auto& stage : this->chain->stages) {
-    // An engine that others' streams have come through since is sound.
-    if (stage.server->last_progress <= since) {
-      silent.push_back(stage.server);
-    }
-  }
-  for (const auto& server : silent) {
-    if (silent.size() == 1) {
-      server->NoteFailure(now);
-    } else {
-      server->NoteDoubt(now);
-    }
-    this->relay.events.Record(
-        EventId::kServerSuspected,
-        {{"server", server->record.id},
-         {"request", this->facts.attempt_id},
-         {"others", std::to_string(silent.size() - 1)},
-         {"silent_ms", MillisText(now - server->last_progress)}});
-  }
-  return silent;
-}
-
-void Exchange::WatchStream() {
-  const bool begun = this->try_has_events;
-  const Duration first_bound =
-      std::max(kLeastFirstEvent,
-               std::chrono::duration_cast<Duration>(
-                   this->route->latency_objective * kFirstEventObjectives));
-  this->stream_timer.Start(
-      this->last_event_at + (begun ? kLongestGap : first_bound),
-      [this] { this->CheckStream(); });
-}
-
-void Exchange::CheckStream() {
-  const bool begun = this->try_has_events;
-  if (begun && this->relay.Now() - this->last_event_at < kLongestGap) {
-    this->WatchStream();
-    return;
-  }
-  if (begun && this->TryMove()) {
-    return;
-  }
-  this->ResumeSilentStream();
-}
-
-bool Exchange::TryMove() {
-  const bool moved_since =
-      this->moved_at && *this->moved_at >= this->last_event_at;
-  if (!this->chain || this->relay.engines == nullptr || moved_since) {
-    return false;
-  }
-  const ChainStage first = this->chain->stages.front();
-  ChoiceQuery query = this->MakeQuery();
-  std::vector<std::string> avoided = this->excluded;
-  for (const auto& server : this->SuspectChain(this->last_event_at)) {
-    if (server != first.server) {
-      avoided.push_back(server->record.id);
-    }
-  }
-  query.excluded = avoided;
-  query.first_stage = &first;
-  auto next = ChooseChain(*this->service->engine,
-                          this->relay.servers.Of(this->service->name), query,
-                          this->relay.Now(), this->relay.random);
-  if (!next || next->stages.front().server != first.server) {
-    return false;
-  }
-  this->moved_at = this->relay.Now();
-  this->stream_timer.Start(*this->moved_at + kMoveBound,
-                           [this] { this->CheckStream(); });
-  asio::co_spawn(this->relay.io,
-                 this->OrderMove(std::move(*next), this->alive, this->tries),
-                 asio::detached);
-  return true;
-}
-
-Task<void> Exchange::OrderMove(Chain next, std::weak_ptr<int> owner,
-                               int moved_try) {
-  // `this` may be gone after the wait, the relay is not.
-  Relay& shared = this->relay;
-  const std::string id = this->facts.attempt_id;
-  const std::string text = ChainText(next);
-  const auto outcome = co_await shared.engines->MoveStream(id, next);
-  const bool taken = outcome && outcome.value() == OrderOutcome::kAccepted;
-  shared.events.Record(EventId::kRelayStreamMoved,
-                       {{"request", id},
-                        {"chain", text},
-                        {"outcome", taken     ? "taken"
-                                    : outcome ? "refused"
-                                              : ToString(outcome.error())}});
-  if (owner.expired() || this->call == nullptr || this->tries != moved_try) {
-    co_return;
-  }
-  if (taken) {
-    this->RemoveLoad();
-    this->chain = std::move(next);
-    this->AddLoad();
-  } else if (*this->moved_at >= this->last_event_at) {
-    this->ResumeSilentStream();
-  }
-}
-
-void Exchange::ResumeSilentStream() {
-  const bool begun = this->try_has_events;
-  if (!this->MayRepeat() || this->tries_run + 1 >= this->route->max_attempts) {
-    return;  // The deadline ends it.
-  }
-  const auto silent = this->call;
-  this->relay.events.Record(
-      EventId::kRelayAttemptFailed,
-      {{"request", this->facts.attempt_id},
-       {"chain", ChainText(this->chain)},
-       {"step", begun ? "stream.next_event" : "stream.first_event"},
-       {"silent_ms", MillisText(this->relay.Now() - this->last_event_at)}});
-  silent->Cancel();
-  if (this->chain) {
-    this->SuspectChain(this->last_event_at);
-  }
-  this->EndTry(false);
-  this->FailTry(true, "the stream fell silent");
-}
-
 }  // namespace qp::relay
--- a/packages/relay/src/relay/protocol.h
+++ b/packages/relay/src/relay/protocol.h
@@ -44,6 +44,9 @@
   std::optional<std::uint32_t> running;
   std::optional<std::uint32_t> waiting;
   std::optional<Duration> keep_alive;  ///< Idle time until the server closes.
+  bool leaving = false;                ///< The server is about to stop.
+  /// Time for which the server asks for no more requests of this process.
+  std::optional<Duration> retry_after;
 };
 
 /// Reads and writes the headers that callers and servers use. The relay knows
--- a/packages/relay/src/relay/server.cc
+++ b/packages/relay/src/relay/server.cc
@@ -27,8 +27,16 @@
 constexpr Duration kFirstRefusal = milliseconds(300);
 constexpr int kMostDoublings = 4;
 
+/// Longest pause that is kept, against times that overflow the clock.
+constexpr Duration kLongestPause = std::chrono::hours(24);
+
 }  // namespace
 
+void Server::NotePause(TimePoint now, Duration duration) {
+  this->paused_until =
+      std::max(this->paused_until, now + std::min(duration, kLongestPause));
+}
+
 void Server::NoteProgress(TimePoint now) {
   this->last_progress = now;
   this->failures_in_row = 0;
--- a/packages/relay/src/relay/server.h
+++ b/packages/relay/src/relay/server.h
@@ -50,9 +50,17 @@
   double failure_rate = 0;  ///< Moving average over answers, 0 to 1.
   double latency_ms = 0;    ///< Moving average of whole answers; 0: unknown.
 
+  /// It has said in an answer that it is about to stop. Nothing takes that
+  /// back for this incarnation, not even its entry in the store.
+  bool leaving = false;
+  /// It has asked this process for no requests before then.
+  TimePoint paused_until{};
+
   bool IsUsable() const {
-    return !this->record.draining && !this->removed_at.has_value();
+    return !this->record.draining && !this->leaving &&
+           !this->removed_at.has_value();
   }
+  bool IsPaused(TimePoint now) const { return now < this->paused_until; }
   bool IsRefusing(TimePoint now) const {
     return now < this->refusing_until || now < this->peer_refusing_until;
   }
@@ -61,6 +69,9 @@
   }
 
   void NoteProgress(TimePoint now);
+  /// Keeps all requests of this process away for `duration`, however short of
+  /// servers the service is. A later, shorter pause does not end it.
+  void NotePause(TimePoint now, Duration duration);
   void NoteAnswer(TimePoint now, Duration latency, bool good);
   /// Keeps requests away for a time that doubles with each failure in a row.
   void NoteFailure(TimePoint now);
--- a/packages/relay/src/relay/server_choice.cc
+++ b/packages/relay/src/relay/server_choice.cc
@@ -252,12 +252,13 @@
   std::vector<ServerPtr> trusted;
   std::vector<ServerPtr> usable;
   for (const auto& engine : engines) {
-    if (!engine->IsUsable() || IsExcluded(*engine, query)) {
+    const bool fixed =
+        query.first_stage != nullptr && query.first_stage->server == engine;
+    if (!engine->IsUsable() || IsExcluded(*engine, query) ||
+        (engine->IsPaused(now) && !fixed)) {
       continue;
     }
     usable.push_back(engine);
-    const bool fixed =
-        query.first_stage != nullptr && query.first_stage->server == engine;
     if (fixed || !engine->IsSuspect(now)) {
       trusted.push_back(engine);
     }
@@ -275,7 +276,8 @@
   ServerPtr best;
   double best_load = 0;
   for (const auto& server : servers) {
-    if (!server->IsUsable() || IsExcluded(*server, query)) {
+    if (!server->IsUsable() || IsExcluded(*server, query) ||
+        server->IsPaused(now)) {
       continue;
     }
     const bool fresh = now - server->reported_at < kReportAge;
@@ -296,4 +298,19 @@
   return best;
 }
 
+std::optional<TimePoint> EndOfCommonPause(std::span<const ServerPtr> servers,
+                                          TimePoint now) {
+  std::optional<TimePoint> end;
+  for (const auto& server : servers) {
+    if (!server->IsUsable()) {
+      continue;
+    }
+    if (!server->IsPaused(now)) {
+      return std::nullopt;
+    }
+    end = std::min(end.value_or(server->paused_until), server->paused_until);
+  }
+  return end;
+}
+
 }  // namespace qp::relay
--- a/packages/relay/src/relay/server_choice.h
+++ b/packages/relay/src/relay/server_choice.h
@@ -48,7 +48,8 @@
 /// narrow. An engine without memory for the request is passed over.
 ///
 /// Answers the load of a busy hour with single engines lost: suspected
-/// engines are used only where the model can't be covered without them.
+/// engines are used only where the model can't be covered without them, and
+/// paused ones never, but as the first stage that is fixed.
 /// Empty if no chain covers the model or none has memory left.
 std::optional<Chain> ChooseChain(const EngineProfile& profile,
                                  std::span<const ServerPtr> engines,
@@ -56,9 +57,14 @@
                                  std::mt19937_64& random);
 
 /// Chooses a server of a plain service by load, past failures and zone. Null
-/// if none is usable.
+/// if none is usable and takes requests.
 ServerPtr ChooseServer(std::span<const ServerPtr> servers,
                        const ChoiceQuery& query, TimePoint now,
                        std::mt19937_64& random);
 
+/// When the first pause ends, if all usable servers have asked this process
+/// for one. Empty if one of them takes requests, or if there is none.
+std::optional<TimePoint> EndOfCommonPause(std::span<const ServerPtr> servers,
+                                          TimePoint now);
+
 }  // namespace qp::relay
--- a/packages/relay/src/relay/server_directory.cc
+++ b/packages/relay/src/relay/server_directory.cc
@@ -5,20 +5,29 @@
 
 namespace qp::relay {
 
+namespace {
+
+bool IsSameServer(const ServerRecord& known, const ServerRecord& record) {
+  return known.incarnation == record.incarnation &&
+         known.service == record.service && known.address == record.address;
+}
+
+}  // namespace
+
 void ServerDirectory::Put(ServerRecord record, TimePoint now) {
   this->lapsing.erase(record.id);
   const auto found = this->by_id.find(record.id);
   if (found != this->by_id.end()) {
     ServerRecord& known = found->second->record;
-    if (known.incarnation == record.incarnation &&
-        known.service == record.service && known.address == record.address) {
+    if (IsSameServer(known, record)) {
       known = std::move(record);
       return;
     }
     this->Unlist(found->second);
   }
-  auto server = std::make_shared<Server>();
+  const auto server = this->Recall(record);
   server->record = std::move(record);
+  server->removed_at.reset();
   server->last_progress = now;
   this->by_service[server->record.service].push_back(server);
   this->by_id.insert_or_assign(server->record.id, server);
@@ -35,11 +44,26 @@
     return;
   }
   found->second->removed_at = now;
+  this->dropped.insert_or_assign(found->first, found->second);
   this->Unlist(found->second);
   this->lapsing.erase(std::string(id));
 }
 
+ServerPtr ServerDirectory::Recall(const ServerRecord& record) {
+  const auto found = this->dropped.find(record.id);
+  if (found == this->dropped.end()) {
+    return std::make_shared<Server>();
+  }
+  const ServerPtr known = found->second;
+  this->dropped.erase(found);
+  return IsSameServer(known->record, record) ? known
+                                             : std::make_shared<Server>();
+}
+
 void ServerDirectory::Expire(TimePoint now) {
+  std::erase_if(this->dropped, [now](const auto& entry) {
+    return now - *entry.second->removed_at > kMemory;
+  });
   for (auto entry = this->lapsing.begin(); entry != this->lapsing.end();) {
     if (entry->second > now) {
       ++entry;
--- a/packages/relay/src/relay/server_directory.h
+++ b/packages/relay/src/relay/server_directory.h
@@ -22,7 +22,13 @@
   /// listed again, from the letter of the users.
   static constexpr Duration kLapseGrace = std::chrono::milliseconds(2000);
 
-  /// Takes over an entry. A new incarnation starts with a clean record.
+  /// Time for which a server that is no longer listed is remembered. Rows of
+  /// servers that live return within seconds; after this, an entry that was
+  /// written by mistake counts as a new server.
+  static constexpr Duration kMemory = std::chrono::minutes(10);
+
+  /// Takes over an entry. A new incarnation starts with a clean record; one
+  /// that returns after it was dropped is still what was known of it.
   void Put(ServerRecord record, TimePoint now);
   /// The store no longer lists `id`. It is dropped at once, or, if the entry
   /// may have lapsed, kept until `keep_until`.
@@ -41,10 +47,12 @@
 
  private:
   void Unlist(const ServerPtr& server);
+  ServerPtr Recall(const ServerRecord& record);
 
   std::map<std::string, ServerPtr, std::less<>> by_id;
   std::map<std::string, std::vector<ServerPtr>, std::less<>> by_service;
   std::map<std::string, TimePoint, std::less<>> lapsing;
+  std::map<std::string, ServerPtr, std::less<>> dropped;
 };
 
 }  // namespace qp::relay
--- a/packages/relay/src/relay/upstream_call.cc
+++ b/packages/relay/src/relay/upstream_call.cc
@@ -1,6 +1,8 @@
 #include "relay/upstream_call.h"
 
 #include <boost/beast/http.hpp>
+#include <exception>
+#include <limits>
 #include <utility>
 
 #include "http/endpoint.h"
@@ -12,8 +14,7 @@
 
 namespace {
 
-/// Largest head of an answer; servers answer with a dozen short headers.
-constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
+constexpr unsigned kFirstFinalStatus = 200;
 
 }  // namespace
 
@@ -26,6 +27,7 @@
       server(std::move(target)),
       listener(&receiver),
       connect_timer(queue),
+      discard_timer(queue),
       timers(queue) {}
 
 void UpstreamCall::Start(std::string id, std::string bytes, bool fresh,
@@ -83,10 +85,13 @@
 void UpstreamCall::NewParser() {
   this->parser.emplace();
   this->parser->eager(true);
-  this->parser->header_limit(kMaxHeadBytes);
-  this->parser->body_limit(boost::none);
+  this->parser->header_limit(kMaxUnparsedBytes);
+  // Bodies are taken out as they arrive. Without a limit, Beast 1.74 refuses
+  // every body that states its length.
+  this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
   this->parser->skip(this->head_request);
   this->head_handled = false;
+  this->interim = false;
   this->foreign = false;
 }
 
@@ -98,12 +103,49 @@
   }
 }
 
+void UpstreamCall::Discard() {
+  this->listener = nullptr;
+  this->connect_timer.Cancel();
+  if (this->channel == nullptr) {
+    return;
+  }
+  this->discarding = this->shared_from_this();
+  this->channel->Resume();
+  this->discard_timer.Start(this->timers.Now() + kDiscardBound, [this] {
+    this->Fail(ErrorCode::kTimeout, "the rest of the answer took too long");
+  });
+}
+
+void UpstreamCall::Pause() {
+  if (this->channel != nullptr) {
+    this->channel->Pause();
+  }
+}
+
+void UpstreamCall::Resume() {
+  if (this->channel != nullptr) {
+    this->channel->Resume();
+  }
+}
+
 void UpstreamCall::OnBytes(std::string_view bytes) {
   const auto self = this->shared_from_this();
   this->answer_begun = true;
   this->input.append(bytes);
+  try {
+    this->ParseAll();
+  } catch (const std::exception& failure) {
+    // One server's bytes must not end the process with all its requests.
+    this->Fail(ErrorCode::kProtocol, failure.what());
+  }
+}
+
+void UpstreamCall::ParseAll() {
   while (!this->input.empty() && this->Parse()) {
   }
+  if (this->input.size() > kMaxUnparsedBytes) {
+    this->Fail(ErrorCode::kProtocol, "a part of the answer is too long");
+  }
 }
 
 bool UpstreamCall::Parse() {
@@ -121,20 +163,34 @@
     }
     this->HandleBody();
   }
-  if (this->listener == nullptr) {
+  if (this->listener == nullptr && this->discarding == nullptr) {
     return false;
   }
   if (this->parser->is_done()) {
     return this->HandleDone();
   }
+  if (this->IsSkippedTooLong()) {
+    this->Fail(ErrorCode::kProtocol, "an answer that is not used is too long");
+    return false;
+  }
   return used > 0 && !failure;
 }
 
+bool UpstreamCall::IsSkippedTooLong() const {
+  return this->foreign_bytes > kMaxForeignBytes ||
+         this->discarded_bytes > kMaxDiscardedBytes;
+}
+
 void UpstreamCall::HandleHead() {
   this->head_handled = true;
   ResponseHead head;
   head.status = this->parser->get().result_int();
+  this->interim = head.status < kFirstFinalStatus;
+  if (this->interim) {
+    return;
+  }
   head.facts = this->protocol.ReadResponse(this->parser->get().base());
+  this->listener->OnServerFacts(head.status, head.facts);
   const std::string& answered = head.facts.attempt_id;
   this->foreign =
       answered.empty() ? IsSuccess(head.status) : answered != this->attempt_id;
@@ -148,12 +204,24 @@
 
 void UpstreamCall::HandleBody() {
   std::string body = std::exchange(this->parser->get().body(), {});
-  if (!body.empty() && !this->foreign && this->listener != nullptr) {
+  if (this->foreign) {
+    this->foreign_bytes += body.size();
+  } else if (this->listener == nullptr) {
+    this->discarded_bytes += body.size();
+  } else if (!body.empty()) {
     this->listener->OnBody(body);
   }
 }
 
 bool UpstreamCall::HandleDone() {
+  if (this->interim) {
+    if (++this->interim_answers > kMostInterimAnswers) {
+      this->Fail(ErrorCode::kProtocol, "too many interim answers");
+      return false;
+    }
+    this->NewParser();
+    return true;
+  }
   if (!this->foreign) {
     this->Complete();
     return false;
@@ -167,6 +235,9 @@
 }
 
 void UpstreamCall::Complete() {
+  this->discard_timer.Cancel();
+  // May be the last reference; OnBytes and OnEnd hold another one.
+  this->discarding.reset();
   CallListener* receiver = std::exchange(this->listener, nullptr);
   const bool clean = this->parser->keep_alive() && this->input.empty() &&
                      this->channel->unsent() == 0 && this->channel->is_open();
@@ -176,7 +247,9 @@
   } else {
     this->channel->Close();
   }
-  receiver->OnComplete();
+  if (receiver != nullptr) {
+    receiver->OnComplete();
+  }
 }
 
 void UpstreamCall::OnEnd(const boost::system::error_code& failure) {
@@ -187,7 +260,7 @@
     this->parser->put_eof(result);
     if (!result) {
       this->HandleBody();
-      if (this->listener != nullptr) {
+      if (this->listener != nullptr || this->discarding != nullptr) {
         this->Complete();
       }
       return;
@@ -200,6 +273,8 @@
 void UpstreamCall::Fail(ErrorCode code, std::string detail) {
   const auto self = this->shared_from_this();
   this->connect_timer.Cancel();
+  this->discard_timer.Cancel();
+  this->discarding.reset();
   if (this->channel != nullptr) {
     this->channel->Close();
   }
--- a/packages/relay/src/relay/upstream_call.h
+++ b/packages/relay/src/relay/upstream_call.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "foundation/error.h"
+#include "http/append_body.h"
 #include "relay/channel.h"
 #include "relay/protocol.h"
 #include "relay/server.h"
@@ -36,6 +37,9 @@
 class CallListener {
  public:
   virtual ~CallListener() = default;
+  /// What a head says of the server itself, before OnResponse and also where
+  /// the answer belongs to another request.
+  virtual void OnServerFacts(unsigned status, const ResponseFacts& facts) = 0;
   virtual void OnResponse(ResponseHead head) = 0;
   virtual void OnBody(std::string_view bytes) = 0;
   virtual void OnComplete() = 0;
@@ -43,7 +47,11 @@
 };
 
 /// One request to one server over one connection. An answer that belongs to an
-/// earlier request of the connection is told apart by its id and skipped.
+/// earlier request of the connection is told apart by its id and skipped, and
+/// so are interim answers.
+///
+/// Whatever a server sends, a call keeps no more than kMaxUnparsedBytes of it
+/// beside what one read brings.
 class UpstreamCall : public ChannelReader,
                      public std::enable_shared_from_this<UpstreamCall> {
  public:
@@ -52,6 +60,18 @@
   /// try.
   static constexpr Duration kConnectBound = std::chrono::milliseconds(350);
 
+  /// Largest head, or other part that can only be read as a whole. Servers
+  /// answer with a dozen short headers.
+  static constexpr std::uint32_t kMaxUnparsedBytes = 64 * 1024;
+  /// Interim answers (1xx) before the final one; servers send one at most.
+  static constexpr int kMostInterimAnswers = 8;
+  /// Bytes of an answer to another request that are read to get past it.
+  static constexpr std::size_t kMaxForeignBytes = 256 * 1024;
+  /// Bytes and time for the rest of an answer that nobody needs, so that its
+  /// connection can be used again.
+  static constexpr std::size_t kMaxDiscardedBytes = 64 * 1024;
+  static constexpr Duration kDiscardBound = std::chrono::milliseconds(200);
+
   UpstreamCall(asio::io_context& io, TimerQueue& timers, UpstreamPool& pool,
                const Protocol& protocol, ServerPtr server,
                CallListener& listener);
@@ -61,21 +81,29 @@
              bool is_head_request);
   /// Ends the call and closes its connection; the listener hears no more.
   void Cancel();
+  /// The listener hears no more; what is left of the answer is read and thrown
+  /// away, if it is short, to keep the connection.
+  void Discard();
+  /// Reads nothing more until Resume.
+  void Pause();
+  void Resume();
 
   void OnBytes(std::string_view bytes) override;
   void OnEnd(const boost::system::error_code& failure) override;
 
  private:
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::response_parser<http::AppendBody>;
 
   void Connect();
   void Send();
   void NewParser();
+  void ParseAll();
   /// Parses what has arrived; false if the call has ended.
   bool Parse();
   void HandleHead();
   void HandleBody();
+  /// Whether too much of an answer that nobody needs has come.
+  bool IsSkippedTooLong() const;
   /// The whole answer is there; false if the call has ended.
   bool HandleDone();
   void Complete();
@@ -87,6 +115,7 @@
   ServerPtr server;
   CallListener* listener;
   ScopedTimer connect_timer;
+  ScopedTimer discard_timer;
   TimerQueue& timers;
   std::shared_ptr<Channel> channel;
   std::string attempt_id;
@@ -98,7 +127,13 @@
   std::string input;
   std::optional<Parser> parser;
   bool head_handled = false;
+  bool interim = false;  ///< The answer being read is not the final one.
   bool foreign = false;  ///< The answer being read belongs to another request.
+  int interim_answers = 0;
+  std::size_t foreign_bytes = 0;
+  std::size_t discarded_bytes = 0;
+  /// Keeps the call alive while it discards; null otherwise.
+  std::shared_ptr<UpstreamCall> discarding;
   std::optional<Duration> keep_alive;
 };
 
--- a/packages/relay/tests/relay/event_splitter_test.cc
+++ b/packages/relay/tests/relay/event_splitter_test.cc
@@ -22,7 +22,7 @@
   CHECK(event->bytes == "data: c\n\n");
   CHECK_FALSE(event->id);
   CHECK_FALSE(splitter.Next());
-  CHECK(splitter.has_partial_event());
+  CHECK(splitter.partial_bytes() > 0);
 }
 
 TEST_CASE("A cut event is forgotten on reset", "[relay][events]") {
@@ -34,7 +34,14 @@
   const auto event = splitter.Next();
   REQUIRE(event);
   CHECK(event->bytes == "id: 3\ndata: half\n\n");
-  CHECK_FALSE(splitter.has_partial_event());
+  CHECK_FALSE(splitter.partial_bytes() > 0);
+}
+
+TEST_CASE("A comment is told from an event with data", "[relay][events]") {
+  EventSplitter splitter;
+  splitter.Append(": still here\n\nid: 1\ndata: a\n\n");
+  CHECK_FALSE(splitter.Next()->has_data);
+  CHECK(splitter.Next()->has_data);
 }
 
 TEST_CASE("Events don't depend on how bytes arrive", "[relay][events]") {
--- a/packages/relay/tests/relay/relay_harness.h
+++ b/packages/relay/tests/relay/relay_harness.h
@@ -62,6 +62,11 @@
     facts.attempt_id = value("Attempt");
     facts.is_signed = !value("Signature").empty();
     facts.not_executed = !value("Not-Run").empty();
+    facts.leaving = !value("Leaving").empty();
+    facts.failed_address = value("Culprit");
+    if (const std::string pause = value("Pause-Ms"); !pause.empty()) {
+      facts.retry_after = milliseconds(std::stoi(pause));
+    }
     return facts;
   }
 };
--- a/packages/relay/tests/relay/server_directory_test.cc
+++ b/packages/relay/tests/relay/server_directory_test.cc
@@ -64,4 +64,52 @@
   }
 }
 
+// A store that forgets and lists a server again made the relay forget that the
+// server had asked for no more requests.
+TEST_CASE("A server whose entry comes back is what it was before",
+          "[relay][servers][leaving]") {
+  ServerDirectory servers;
+  servers.Put(MakeRecord("s1", "ledger"), kNow);
+  servers.Find("s1")->leaving = true;
+  servers.Find("s1")->NotePause(kNow, std::chrono::seconds(30));
+  SECTION("while it was still kept") {
+    servers.Remove("s1", kNow, kNow + ServerDirectory::kLapseGrace);
+    servers.Put(MakeRecord("s1", "ledger"), kNow + milliseconds(100));
+  }
+  SECTION("after it was dropped") {
+    servers.Remove("s1", kNow, kNow);
+    servers.Expire(kNow + milliseconds(100));
+    servers.Put(MakeRecord("s1", "ledger"), kNow + milliseconds(200));
+  }
+  const ServerPtr known = servers.Find("s1");
+  REQUIRE(known != nullptr);
+  CHECK(known->leaving);
+  CHECK(known->IsPaused(kNow + std::chrono::seconds(29)));
+  CHECK_FALSE(known->removed_at);
+}
+
+TEST_CASE("A new incarnation of a server that left gets requests",
+          "[relay][servers][leaving]") {
+  ServerDirectory servers;
+  servers.Put(MakeRecord("s1", "ledger"), kNow);
+  servers.Find("s1")->leaving = true;
+  auto record = MakeRecord("s1", "ledger");
+  SECTION("of a server that is listed") {}
+  SECTION("of a server that was dropped") { servers.Remove("s1", kNow, kNow); }
+  ++record.incarnation;
+  servers.Put(record, kNow);
+  CHECK(servers.Find("s1")->IsUsable());
+}
+
+TEST_CASE("Dropped servers are forgotten in the end", "[relay][servers]") {
+  ServerDirectory servers;
+  servers.Put(MakeRecord("s1", "ledger"), kNow);
+  const std::weak_ptr<Server> held = servers.Find("s1");
+  servers.Remove("s1", kNow, kNow);
+  servers.Expire(kNow + ServerDirectory::kMemory);
+  CHECK_FALSE(held.expired());
+  servers.Expire(kNow + ServerDirectory::kMemory + milliseconds(1));
+  CHECK(held.expired());
+}
+
 }  // namespace qp::relay::testing
--- a/packages/relay/tests/relay/server_test.cc
+++ b/packages/relay/tests/relay/server_test.cc
@@ -72,4 +72,27 @@
   CHECK(server.IsSuspect(kNow + milliseconds(200)));
 }
 
+TEST_CASE("A pause that a server asks for lasts to its end",
+          "[relay][servers][pause]") {
+  Server server;
+  server.NotePause(kNow, milliseconds(2000));
+  CHECK(server.IsPaused(kNow + milliseconds(1999)));
+  CHECK_FALSE(server.IsPaused(kNow + milliseconds(2000)));
+  SECTION("also if a shorter one follows") {
+    server.NotePause(kNow + milliseconds(100), milliseconds(10));
+  }
+  SECTION("also if it accepts what was sent before") {
+    server.NoteAccepted(kNow + milliseconds(100));
+    server.NoteProgress(kNow + milliseconds(100));
+  }
+  CHECK(server.IsPaused(kNow + milliseconds(1999)));
+}
+
+TEST_CASE("A server that is leaving is not usable", "[relay][servers]") {
+  Server server;
+  CHECK(server.IsUsable());
+  server.leaving = true;
+  CHECK_FALSE(server.IsUsable());
+}
+
 }  // namespace qp::relay::testing
