Ask a failing store less often, and end orders before the lease is given up

Cause: calls to the store grow with processes. At a start each process read the whole configuration ten times a second until the first one was written, and counted the processes four times; during an outage each made up to one call every 3 s in each of two loops (130 a second at 195 processes). A process that stopped gave up the lease while an order of its own could be under way.

Change: before the first configuration the feed is waited on (1 s); the list of processes is read twice at a start (0 s, 3 s); pauses after failed calls grow with the processes of the zone (200 ms each, spread by a quarter) and end early (2 s) once a peer reports an answer; first looks at the lease are spread over 0.8 s. A stop waits for the order under way before it resigns the lease, and sends no other.

Tests first red: with the old pauses "The processes of a large zone share the calls to a failing store" fails; "A process that stops sends no further order and tells when it is done" needs the new check in the loop over orders.

--- a/packages/relay/src/relay/entry_daemon.cc
+++ b/packages/relay/src/relay/entry_daemon.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <random>
 #include <utility>
 
 #include "foundation/wait.h"
@@ -31,6 +32,8 @@
 /// lost is replaced only by the holder.
 constexpr LeaseTerms kLayerLease{milliseconds(3500), milliseconds(700)};
 constexpr Duration kLeaseTick = milliseconds(1200);
+/// Time over which the processes of a deployment first look at the lease.
+constexpr Duration kLeaseSpread = milliseconds(800);
 /// Silence of the holder after which the others look at the lease. Its reports
 /// reach other zones every 450 ms.
 constexpr Duration kHolderSilence = milliseconds(1500);
@@ -123,6 +126,10 @@
 
   /// While the holder is heard of, the others need not look at the lease.
   Task<void> HoldLease() {
+    // Whoever comes first holds it before the others look.
+    const auto spread = std::uniform_int_distribution<Duration::rep>(
+        0, kLeaseSpread.count())(this->relay.random);
+    co_await SleepFor(this->clock, Duration(spread));
     while (!this->relay.draining) {
       const bool heard =
           this->holder_heard_at &&
@@ -148,6 +155,10 @@
     const TimePoint end =
         began +
         std::max(this->settings.grace_period - kStopMargin, kDrainCheck);
+    // An order that is under way must not meet one of the next holder.
+    while (this->keeper.is_acting() && this->clock.Now() < end) {
+      co_await SleepFor(this->clock, kDrainCheck);
+    }
     co_await this->lease.Resign();
     co_await this->registry.Leave();
     const TimePoint accept_until = std::min(began + kAcceptAfterStop, end);
--- a/packages/relay/src/relay/entry_registry.h
+++ b/packages/relay/src/relay/entry_registry.h
@@ -20,9 +20,10 @@
   static constexpr Duration kIntervalEach = std::chrono::seconds(1);
   static constexpr Duration kRetry = std::chrono::milliseconds(500);
 
-  /// Time between the first counts, while a deployment starts.
-  static constexpr Duration kFirstInterval = std::chrono::seconds(1);
-  static constexpr int kFirstCounts = 4;
+  /// Time between the first counts, while a deployment starts: all processes
+  /// have registered after it.
+  static constexpr Duration kFirstInterval = std::chrono::seconds(3);
+  static constexpr int kFirstCounts = 2;
 
   EntryRegistry(Relay& relay, Clock& clock, Table& table,
                 LoadExchange& exchange, std::string node, std::string address);
--- a/packages/relay/src/relay/layer_keeper.cc
+++ b/packages/relay/src/relay/layer_keeper.cc
@@ -23,7 +23,9 @@
   while (!this->relay.draining) {
     co_await SleepFor(this->clock, kInterval);
     if (this->lease.FencingNumber() && this->relay.in_force != nullptr) {
+      this->acting = true;
       co_await this->Step();
+      this->acting = false;
     }
   }
 }
@@ -41,7 +43,8 @@
     for (const auto& order : orders) {
       const ServerPtr server = this->relay.servers.Find(order.engine);
       // The lease is looked at again before each order.
-      if (server == nullptr || !this->lease.FencingNumber()) {
+      if (server == nullptr || this->relay.draining ||
+          !this->lease.FencingNumber()) {
         continue;
       }
       const double share =
@@ -108,7 +111,7 @@
   this->pending[key] = {layers, this->clock.Now() + kRetry};
   const bool known = co_await this->LearnOrderCount(engine);
   // The answer may have taken long; the lease is what allows the order.
-  if (!known || !this->lease.FencingNumber()) {
+  if (!known || this->relay.draining || !this->lease.FencingNumber()) {
     co_return;
   }
   const std::uint64_t count = this->order_counts[key];
--- a/packages/relay/src/relay/layer_keeper.h
+++ b/packages/relay/src/relay/layer_keeper.h
@@ -29,6 +29,9 @@
 
   /// Runs until the process ends or drains.
   Task<void> Run();
+  /// Whether an order may be on its way. Once the process drains, no further
+  /// one follows.
+  bool is_acting() const { return this->acting; }
 
  private:
   using EngineKey = std::pair<std::string, std::int64_t>;
@@ -49,6 +52,7 @@
   Clock& clock;
   EngineControl& control;
   Lease& lease;
+  bool acting = false;
   std::map<EngineKey, Pending> pending;
   std::map<EngineKey, std::uint64_t> order_counts;
 };
--- a/packages/relay/src/relay/store_follower.cc
+++ b/packages/relay/src/relay/store_follower.cc
@@ -21,7 +21,7 @@
 }
 
 Duration StoreFollower::ConfigurationWait() const {
-  if (!this->HearsPeers()) {
+  if (!this->HearsPeers() || this->relay.in_force == nullptr) {
     return kLoneConfigurationWait;
   }
   const auto shared = std::chrono::duration_cast<Duration>(
@@ -39,7 +39,7 @@
   while (true) {
     const Duration pause = co_await this->StepConfiguration();
     if (pause > Duration{0}) {
-      co_await SleepFor(this->clock, pause);
+      co_await this->WaitForReturn(pause);
     }
   }
 }
@@ -54,10 +54,6 @@
   }
   this->NoteAnswer();
   this->TakeConfiguration(page.value());
-  if (this->relay.in_force == nullptr) {
-    // Before the first configuration a whole read tells more than the feed.
-    co_return kFirstPause;
-  }
   this->configuration_revision = page.value().revision;
   co_return Duration{0};
 }
@@ -93,10 +89,25 @@
     const Duration pause = co_await this->StepServers();
     const bool failed = this->failure_pause > Duration{0};
     if (failed || !this->servers_known) {
-      co_await SleepFor(this->clock, std::max(pause, kFirstPause));
-      continue;
+      co_await this->WaitForReturn(std::max(pause, kFirstPause));
+    }
+    if (this->servers_known) {
+      co_await this->WaitForStaleServers(failed ? kServerPause : pause);
+    }
+  }
+}
+
+Task<void> StoreFollower::WaitForReturn(Duration pause) {
+  const TimePoint began = this->clock.Now();
+  while (true) {
+    const bool answers = this->peer_answered_at > began;
+    const TimePoint due =
+        began + (answers ? std::min(pause, kReturnPause) : pause);
+    const TimePoint now = this->clock.Now();
+    if (now >= due) {
+      co_return;
     }
-    co_await this->WaitForStaleServers(pause);
+    co_await SleepFor(this->clock, std::min(due - now, kReturnCheck));
   }
 }
 
@@ -194,6 +205,9 @@
 void StoreFollower::TakeReport(const LoadReport& report) {
   const TimePoint now = this->clock.Now();
   this->peer_heard_at = now;
+  this->peer_answered_at =
+      std::max(this->peer_answered_at,
+               now - std::chrono::milliseconds(report.server_age_ms));
   const auto version = this->relay.in_force == nullptr
                            ? 0
                            : this->relay.in_force->configuration.version;
@@ -313,10 +327,20 @@
                                  {"detail", error.detail}});
     }
   }
+  if (!this->HearsPeers()) {
+    this->failure_pause =
+        std::clamp(this->failure_pause * 2, kFirstPause, kLongestPause);
+    return this->failure_pause;
+  }
+  const auto shared = std::chrono::duration_cast<Duration>(
+      kSharedPauseEach * this->relay.processes_in_zone);
   this->failure_pause =
-      std::clamp(this->failure_pause * 2, kFirstPause,
-                 this->HearsPeers() ? kLongestSharedPause : kLongestPause);
-  return this->failure_pause;
+      std::clamp(this->failure_pause * 2, std::max(kFirstPause, shared / 4),
+                 std::max(kLongestSharedPause, shared));
+  // Spread, so that processes that failed together don't ask together.
+  const double spread =
+      std::uniform_real_distribution<double>(0.75, 1.25)(this->relay.random);
+  return std::chrono::duration_cast<Duration>(this->failure_pause * spread);
 }
 
 }  // namespace qp::relay
--- a/packages/relay/src/relay/store_follower.h
+++ b/packages/relay/src/relay/store_follower.h
@@ -52,6 +52,14 @@
   /// the store and tell of it. Failed calls count against the store's rates.
   static constexpr Duration kLongestSharedPause =
       std::chrono::milliseconds(3000);
+  /// The longest of these for each process of a large zone: together they ask
+  /// some five times a second, in each of both loops.
+  static constexpr Duration kSharedPauseEach = std::chrono::milliseconds(200);
+  /// The same once a peer has had an answer: what turns away this process may
+  /// last, but a store that is back must be read within its stability window.
+  static constexpr Duration kReturnPause = std::chrono::milliseconds(2000);
+  /// Time between two looks at what peers have reported meanwhile.
+  static constexpr Duration kReturnCheck = std::chrono::milliseconds(500);
   /// Time between two reads of a configuration that a peer told of.
   static constexpr Duration kCatchUpPause = std::chrono::milliseconds(500);
 
@@ -83,6 +91,8 @@
   Duration ConfigurationWait() const;
   Task<void> CatchUpConfiguration();
   Task<void> WaitForStaleServers(Duration age);
+  /// Waits out a pause after a failed call, or less once a peer had an answer.
+  Task<void> WaitForReturn(Duration pause);
   void TakeNews(const ServerNews& news);
   void KeepNews(std::uint64_t from, const ServerPage& page);
   bool IsChange(const ServerEntry& entry) const;
@@ -108,6 +118,7 @@
   std::uint64_t newest_servers = 0;  ///< Revision of the list in use.
   TimePoint servers_true_at{};       ///< When that was the list of the store.
   std::optional<TimePoint> peer_heard_at;
+  TimePoint peer_answered_at{};  ///< Latest answer of the store to a peer.
   /// Last read for a peer's newer version.
   std::optional<TimePoint> caught_up_at;
   std::vector<std::pair<TimePoint, ServerNews>> own_news;
--- a/packages/relay/tests/relay/layer_keeper_test.cc
+++ b/packages/relay/tests/relay/layer_keeper_test.cc
@@ -23,6 +23,9 @@
   Task<Result<OrderOutcome>> Hold(ServerRecord engine, LayerRange layers,
                                   std::uint64_t order_count) override {
     this->orders.push_back({engine.id, layers, order_count});
+    if (this->on_order) {
+      this->on_order();
+    }
     if (this->silent) {
       co_return Error{ErrorCode::kUnknownEffect, "order", engine.id, ""};
     }
@@ -45,6 +48,7 @@
     co_return OrderOutcome::kRefused;
   }
 
+  std::function<void()> on_order;
   std::vector<Order> orders;
   std::map<std::string, std::uint64_t> begun;
   int asked = 0;
@@ -174,4 +178,22 @@
   CHECK(world.engines.orders.size() == 4);
 }
 
+// A process that stopped gave the lease up with an order of its own under way,
+// and the next holder ordered for the same hole.
+TEST_CASE(
+    "A process that stops sends no further order and tells when it is done",
+    "[relay][keeper][stop]") {
+  World world;
+  bool acting = false;
+  world.engines.on_order = [&] {
+    acting = world.keeper.is_acting();
+    world.harness.relay.draining = true;
+  };
+  world.TakeLease();
+  world.Run(milliseconds(3000));
+  CHECK(acting);
+  CHECK(world.engines.orders.size() == 1);
+  CHECK_FALSE(world.keeper.is_acting());
+}
+
 }  // namespace qp::relay::testing
--- a/packages/relay/tests/relay/store_follower_test.cc
+++ b/packages/relay/tests/relay/store_follower_test.cc
@@ -334,4 +334,61 @@
   CHECK(world.store.whole_configurations <= 3);
 }
 
+// Hundreds of processes that start together asked ten times a second each.
+TEST_CASE("Before the first configuration the store is asked to wait for it",
+          "[relay][store]") {
+  Follower world;
+  asio::co_spawn(world.harness.runtime.io(), world.follower.StepConfiguration(),
+                 asio::detached);
+  world.harness.runtime.Settle();
+  CHECK(world.store.whole_configurations == 1);
+  world.store.configurations = {Version(4)};
+  asio::co_spawn(world.harness.runtime.io(), world.follower.StepConfiguration(),
+                 asio::detached);
+  world.harness.runtime.Settle();
+  CHECK(world.store.whole_configurations == 1);
+  CHECK(world.store.last_wait == StoreFollower::kLoneConfigurationWait);
+  REQUIRE(world.harness.relay.in_force);
+  CHECK(world.harness.relay.in_force->configuration.version == 4);
+}
+
+namespace {
+
+/// Calls in `seconds` to a store that fails, by one process of a large zone.
+/// Peers report a look of the age `peer_age_ms` all the while.
+std::size_t CallsOfLargeZone(Follower& world, int seconds, int peer_age_ms) {
+  constexpr std::size_t kMost = 400;
+  world.harness.relay.processes_in_zone = 39;
+  world.store.server_pages = {Listed(5, {"s1"})};
+  const Result<ServerPage> failure = Unavailable();
+  world.store.server_pages.insert(world.store.server_pages.end(), kMost,
+                                  failure);
+  world.Start();
+  for (int step = 0; step < 10 * seconds; ++step) {
+    world.follower.TakeReport(PeerReport(9, peer_age_ms));
+    world.harness.runtime.Advance(milliseconds(100), milliseconds(100));
+  }
+  return kMost - world.store.server_pages.size();
+}
+
+}  // namespace
+
+TEST_CASE("The processes of a large zone share the calls to a failing store",
+          "[relay][store]") {
+  Follower world;
+  // 39 processes with at most 10 calls a second together, after the first.
+  CHECK(CallsOfLargeZone(world, 60, 60000) <= 1 + 60 * 10 / 39);
+}
+
+TEST_CASE("A store that answers a peer is read soon", "[relay][store]") {
+  Follower world;
+  CallsOfLargeZone(world, 30, 60000);
+  world.store.server_pages = {Listed(9, {"s1", "s2"})};
+  for (int step = 0; step < 30; ++step) {
+    world.follower.TakeReport(PeerReport(9, 50));
+    world.harness.runtime.Advance(milliseconds(100), milliseconds(100));
+  }
+  CHECK(world.Usable() == 2);
+}
+
 }  // namespace qp::relay::testing
