Don't touch an exchange that ended before its move order began

A process that wakes from a pause finds, in one turn of its loop, that a stream has been silent for too long and that the stream has ended. The timer spawned the coroutine of the move order, the end destroyed the exchange, and the coroutine then read it.

Change: the coroutine is static and looks at the exchange only while it lives. A kept connection that was paused for a slow caller is read again; before, its next request would have got no answer.

--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -110,8 +110,10 @@
   /// is no further arrival, so it needs no retry budget. False if there is no
   /// such chain or the stream was moved in this silence already.
   bool TryMove();
-  /// `moved_try` tells whether the try that was moved is still under way.
-  Task<void> OrderMove(Chain chain, std::weak_ptr<int> owner, int moved_try);
+  /// Outlives the exchange, which it touches only while `owner` lives.
+  static Task<void> OrderMove(Relay& relay, Exchange* exchange, Chain next,
+                              std::weak_ptr<int> owner);
+  void EndMove(bool taken, Chain next);
   /// Cancels the silent try and goes on with another. Without another server
   /// or the budget to ask it the try goes on: its server may only be slow.
   void ReplaceSilentTry();
--- a/packages/relay/src/relay/exchange_silence.cc
+++ b/packages/relay/src/relay/exchange_silence.cc
@@ -108,16 +108,19 @@
   this->progress_timer.Start(*this->moved_at + kMoveBound,
                              [this] { this->CheckProgress(); });
   asio::co_spawn(this->relay.io,
-                 this->OrderMove(std::move(*next), this->alive, this->tries),
+                 OrderMove(this->relay, this, std::move(*next), this->alive),
                  asio::detached);
   return true;
 }
 
-Task<void> Exchange::OrderMove(Chain next, std::weak_ptr<int> owner,
-                               int moved_try) {
-  // `this` may be gone after the wait, the relay is not.
-  Relay& shared = this->relay;
-  const std::string id = this->facts.attempt_id;
+Task<void> Exchange::OrderMove(Relay& shared, Exchange* exchange, Chain next,
+                               std::weak_ptr<int> owner) {
+  // The exchange may be gone already, and may go during the wait.
+  if (owner.expired()) {
+    co_return;
+  }
+  const int moved_try = exchange->tries;
+  const std::string id = exchange->facts.attempt_id;
   const std::string text = ChainText(next);
   const auto outcome = co_await shared.engines->MoveStream(id, next);
   const bool taken = outcome && outcome.value() == OrderOutcome::kAccepted;
@@ -127,9 +130,14 @@
                         {"outcome", taken     ? "taken"
                                     : outcome ? "refused"
                                               : ToString(outcome.error())}});
-  if (owner.expired() || this->call == nullptr || this->tries != moved_try) {
+  if (owner.expired() || exchange->call == nullptr ||
+      exchange->tries != moved_try) {
     co_return;
   }
+  exchange->EndMove(taken, std::move(next));
+}
+
+void Exchange::EndMove(bool taken, Chain next) {
   if (taken) {
     this->RemoveLoad();
     this->chain = std::move(next);
--- a/packages/relay/src/relay/upstream_pool.cc
+++ b/packages/relay/src/relay/upstream_pool.cc
@@ -21,6 +21,8 @@
  public:
   IdleConnection(std::shared_ptr<Channel> open, TimePoint until)
       : channel(std::move(open)), usable_until(until) {
+    // The request before may have been slowed down by its caller.
+    this->channel->Resume();
     this->channel->ReadTo(this);
   }
   ~IdleConnection() override {
--- a/packages/relay/tests/relay/relay_harness.h
+++ b/packages/relay/tests/relay/relay_harness.h
@@ -100,6 +100,9 @@
     return "127.0.0.1:" +
            std::to_string(this->acceptor.local_endpoint().port());
   }
+  asio::ip::tcp::endpoint acceptor_endpoint() const {
+    return this->acceptor.local_endpoint();
+  }
   /// Requests so far, over all connections.
   int requests() const {
     int count = 0;
--- a/packages/relay/tests/relay/stream_move_test.cc
+++ b/packages/relay/tests/relay/stream_move_test.cc
@@ -131,4 +131,20 @@
   CHECK(world.InFlight("first") == 0);
 }
 
+// A process that had been frozen woke up with the end of a stream in its
+// socket: the order to move the stream then began after the exchange was
+// destroyed.
+TEST_CASE("A stream that ends as it is to be moved is left alone",
+          "[relay][exchange][streams][move]") {
+  World world;
+  auto& clock = world.harness.runtime.clock();
+  // Both are due when the clock moves, before any handler has run.
+  clock.Schedule(clock.Now() + milliseconds(600), [&world] {
+    world.first->last().channel->Write(Event(2, "b") + "0\r\n\r\n");
+  });
+  world.harness.runtime.Advance(milliseconds(800), milliseconds(800));
+  CHECK(world.harness.Receives(*world.caller, "\r\n0\r\n\r\n"));
+  CHECK(world.engines.moved.empty());
+}
+
 }  // namespace qp::relay::testing
