Let one process of a large zone follow the configuration for all

Change: in zones of 12 processes and more, one process waits (1 s a call) and tells at once; the others read what it tells of, at most once a second, and ask themselves when nobody has compared with the store for 1.3 to 2 s. Of two that follow, the one whose name comes first goes on. Reports carry the age of the configuration and who follows (format 5). Small zones stay as they were: their deployments allow 2 s until a change is in force.

Ruled out: sending configurations between processes, as a forged or old one would bring withdrawn keys back.

--- a/packages/relay/src/relay/load_report.cc
+++ b/packages/relay/src/relay/load_report.cc
@@ -9,10 +9,10 @@
 namespace {
 
 /// First member of each report; other datagrams are dropped.
-constexpr std::uint32_t kReportFormat = 4;
+constexpr std::uint32_t kReportFormat = 5;
 
 /// Members of the arrays of a report.
-constexpr std::size_t kReportMembers = 13;
+constexpr std::size_t kReportMembers = 15;
 constexpr std::size_t kLoadMembers = 3;
 constexpr std::size_t kRefusalMembers = 2;
 constexpr std::size_t kNewsMembers = 3;
@@ -141,6 +141,8 @@
     report.refusals.push_back(RefusalOf(refusal));
   }
   report.covers_zone = members[12].as<bool>();
+  report.configuration_age_ms = members[13].as<std::uint32_t>();
+  report.reads_configuration = members[14].as<bool>();
   return report;
 }
 
@@ -177,6 +179,8 @@
     packer.pack(refusal.remaining_ms);
   }
   packer.pack(report.covers_zone);
+  packer.pack(report.configuration_age_ms);
+  packer.pack(report.reads_configuration);
   return {bytes.data(), bytes.size()};
 }
 
--- a/packages/relay/src/relay/load_report.h
+++ b/packages/relay/src/relay/load_report.h
@@ -45,6 +45,9 @@
   std::vector<ServerLoad> loads;
   std::vector<ServerRefusal> refusals;  ///< Seen by this process itself.
   std::uint64_t configuration_version = 0;
+  std::uint32_t configuration_age_ms = 0;  ///< Since it was that of the store.
+  /// The process asks the store for configurations all the time.
+  bool reads_configuration = false;
   bool holds_lease = false;
   std::uint64_t server_revision = 0;  ///< Of the list of servers in use.
   std::uint32_t server_age_ms = 0;    ///< Since that was true of the store.
--- a/packages/relay/src/relay/store_follower.cc
+++ b/packages/relay/src/relay/store_follower.cc
@@ -9,6 +9,17 @@
 
 namespace qp::relay {
 
+namespace {
+
+/// Age of what was true at `since`, as reports give it.
+std::uint32_t AgeMillis(TimePoint now, TimePoint since) {
+  const Duration age = std::min<Duration>(now - since, std::chrono::hours(1));
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+}
+
+}  // namespace
+
 StoreFollower::StoreFollower(Relay& shared, Clock& time,
                              DeploymentStore& source)
     : relay(shared), clock(time), store(source) {}
@@ -24,11 +35,23 @@
   if (!this->HearsPeers() || this->relay.in_force == nullptr) {
     return kLoneConfigurationWait;
   }
+  if (this->SharesConfiguration()) {
+    return kSharedConfigurationWait;
+  }
   const auto shared = std::chrono::duration_cast<Duration>(
       kConfigurationWaitEach * this->relay.processes_in_zone);
   return std::clamp(shared, kConfigurationWait, kLongestConfigurationWait);
 }
 
+bool StoreFollower::SharesConfiguration() const {
+  return this->relay.in_force != nullptr && this->HearsPeers() &&
+         this->relay.processes_in_zone >= kSharingProcesses;
+}
+
+Duration StoreFollower::CatchUpPause() const {
+  return this->SharesConfiguration() ? kSharedCatchUpPause : kCatchUpPause;
+}
+
 Task<Result<ServerPage>> StoreFollower::NextServers() {
   return this->server_revision
              ? this->store.FollowServers(*this->server_revision, Duration{0})
@@ -37,6 +60,10 @@
 
 Task<void> StoreFollower::FollowConfiguration() {
   while (true) {
+    if (!this->reads_configuration && this->SharesConfiguration()) {
+      co_await this->WaitForStaleConfiguration();
+    }
+    this->reads_configuration = true;
     const Duration pause = co_await this->StepConfiguration();
     if (pause > Duration{0}) {
       co_await this->WaitForReturn(pause);
@@ -44,6 +71,20 @@
   }
 }
 
+Task<void> StoreFollower::WaitForStaleConfiguration() {
+  const auto spread = std::uniform_int_distribution<Duration::rep>(
+      0, kStaleSpread.count())(this->relay.random);
+  while (this->SharesConfiguration()) {
+    const TimePoint due =
+        this->configuration_true_at + kStaleConfiguration + Duration(spread);
+    const TimePoint now = this->clock.Now();
+    if (now >= due) {
+      co_return;
+    }
+    co_await SleepFor(this->clock, due - now);
+  }
+}
+
 Task<Duration> StoreFollower::StepConfiguration() {
   const auto page = co_await this->NextConfiguration();
   if (!page) {
@@ -55,6 +96,11 @@
   this->NoteAnswer();
   this->TakeConfiguration(page.value());
   this->configuration_revision = page.value().revision;
+  // The store answers as soon as there is something to tell.
+  this->configuration_true_at = this->clock.Now();
+  if (this->SharesConfiguration() && this->on_look) {
+    this->on_look();
+  }
   co_return Duration{0};
 }
 
@@ -127,6 +173,9 @@
   const auto page = co_await this->store.ReadConfiguration();
   if (page) {
     this->TakeConfiguration(page.value());
+    this->configuration_true_at = this->clock.Now();
+    this->configuration_revision = std::max(
+        this->configuration_revision.value_or(0), page.value().revision);
   }
 }
 
@@ -190,11 +239,11 @@
   if (this->relay.in_force != nullptr) {
     report.configuration_version = this->relay.in_force->configuration.version;
   }
+  this->node = report.node;
+  report.configuration_age_ms = AgeMillis(now, this->configuration_true_at);
+  report.reads_configuration = this->reads_configuration;
   report.server_revision = this->newest_servers;
-  const Duration age =
-      std::min<Duration>(now - this->servers_true_at, std::chrono::hours(1));
-  report.server_age_ms = static_cast<std::uint32_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+  report.server_age_ms = AgeMillis(now, this->servers_true_at);
   for (const auto& [at, news] : this->own_news) {
     if (now - at <= kNewsTime) {
       report.news.push_back(news);
@@ -212,11 +261,21 @@
                            ? 0
                            : this->relay.in_force->configuration.version;
   if (report.configuration_version > version &&
-      (!this->caught_up_at || now - *this->caught_up_at >= kCatchUpPause)) {
+      (!this->caught_up_at ||
+       now - *this->caught_up_at >= this->CatchUpPause())) {
     this->caught_up_at = now;
     asio::co_spawn(this->relay.io, this->CatchUpConfiguration(),
                    asio::detached);
   }
+  if (report.configuration_version == version) {
+    this->configuration_true_at =
+        std::max(this->configuration_true_at,
+                 now - std::chrono::milliseconds(report.configuration_age_ms));
+  }
+  if (report.reads_configuration && report.node < this->node &&
+      report.availability_zone == this->relay.availability_zone) {
+    this->reads_configuration = false;
+  }
   if (!this->server_revision) {
     return;
   }
--- a/packages/relay/src/relay/store_follower.h
+++ b/packages/relay/src/relay/store_follower.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 #include "relay/deployment_store.h"
 #include "relay/load_exchange.h"
@@ -19,6 +20,10 @@
 /// of a recent look does not look itself (as in Trickle, RFC 6206), so that
 /// calls to the store don't grow with the number of processes. Without news
 /// from peers each process looks for itself.
+///
+/// In a large zone the configuration is followed in the same way: one process
+/// waits for changes at the store, and the others read what it tells of. Where
+/// there are few processes, each waits for itself.
 class StoreFollower {
  public:
   /// A change of the configuration ends the wait at once. Where a connection
@@ -32,6 +37,18 @@
       std::chrono::milliseconds(1000);
   static constexpr Duration kLongestConfigurationWait =
       std::chrono::milliseconds(24000);
+  /// Processes in the zone from which on one follows the configuration for all.
+  /// Such deployments allow 3 s and more until a change is in force.
+  static constexpr double kSharingProcesses = 12;
+  /// Longest wait for a change of the process that follows for its zone: after
+  /// it the others hear that nothing has changed.
+  static constexpr Duration kSharedConfigurationWait =
+      std::chrono::milliseconds(1000);
+  /// Age from which on the others ask themselves, and its spread, so that one
+  /// of them becomes the next to follow.
+  static constexpr Duration kStaleConfiguration =
+      std::chrono::milliseconds(1300);
+  static constexpr Duration kStaleSpread = std::chrono::milliseconds(700);
   /// The same where no peer has been heard of lately.
   static constexpr Duration kLoneConfigurationWait =
       std::chrono::milliseconds(1000);
@@ -62,6 +79,10 @@
   static constexpr Duration kReturnCheck = std::chrono::milliseconds(500);
   /// Time between two reads of a configuration that a peer told of.
   static constexpr Duration kCatchUpPause = std::chrono::milliseconds(500);
+  /// The same in a large zone, so that changes in quick succession are read
+  /// together.
+  static constexpr Duration kSharedCatchUpPause =
+      std::chrono::milliseconds(1000);
 
   StoreFollower(Relay& relay, Clock& clock, DeploymentStore& store);
 
@@ -89,6 +110,11 @@
  private:
   Task<Result<ConfigurationPage>> NextConfiguration();
   Duration ConfigurationWait() const;
+  bool SharesConfiguration() const;
+  /// Waits until the configuration has not been compared with the store for
+  /// some time, by whatever process.
+  Task<void> WaitForStaleConfiguration();
+  Duration CatchUpPause() const;
   Task<void> CatchUpConfiguration();
   Task<void> WaitForStaleServers(Duration age);
   /// Waits out a pause after a failed call, or less once a peer had an answer.
@@ -118,7 +144,11 @@
   std::uint64_t newest_servers = 0;  ///< Revision of the list in use.
   TimePoint servers_true_at{};       ///< When that was the list of the store.
   std::optional<TimePoint> peer_heard_at;
-  TimePoint peer_answered_at{};  ///< Latest answer of the store to a peer.
+  TimePoint peer_answered_at{};       ///< Latest answer of the store to a peer.
+  TimePoint configuration_true_at{};  ///< When that was the store's.
+  /// This process follows the configuration for its zone.
+  bool reads_configuration = false;
+  std::string node;  ///< As reports name this process.
   /// Last read for a peer's newer version.
   std::optional<TimePoint> caught_up_at;
   std::vector<std::pair<TimePoint, ServerNews>> own_news;
