Move a stream once its silence is out of its own measure

Cause: a stream waited 600 ms for its next event before it was moved to other engines, where a gap of 200 to 300 ms makes the answer late. Besides, a lost engine counted as sound if another stream's event had come through it a few milliseconds after this stream's last one, so the move chose it again.

Change: the bound is the stream's mean gap and four deviations (as TCP's retransmission timeout, RFC 6298), 100 to 600 ms. Before 600 ms a stream is moved only if an engine of its chain has been silent for everybody for most of that time; a preempted stream on working engines waits. A timer that is 50 ms late shows that the process itself was held up: it reads before it judges. The line of a finished request has the time of the first event and the longest gap.

--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -182,6 +182,7 @@
   this->try_began = this->relay.Now();
   this->last_event_at = this->try_began;
   this->try_has_events = false;
+  this->gaps.Reset();
   this->moved_at.reset();
   this->head.reset();
   this->body.clear();
@@ -363,6 +364,8 @@
        {"server", this->server == nullptr ? "" : this->server->record.id},
        {"chain", ChainText(this->chain)},
        {"tries", std::to_string(this->tries)},
+       {"first_event_ms", MillisText(this->first_event_after)},
+       {"longest_gap_ms", MillisText(this->longest_gap)},
        {"ms", MillisText(now - this->arrived)}});
 }
 
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "relay/event_splitter.h"
+#include "relay/gap_estimate.h"
 #include "relay/relay.h"
 #include "relay/responses.h"
 #include "relay/server_choice.h"
@@ -113,7 +114,9 @@
   /// Outlives the exchange, which it touches only while `owner` lives.
   static Task<void> OrderMove(Relay& relay, Exchange* exchange, Chain next,
                               std::weak_ptr<int> owner);
-  void EndMove(bool taken, Chain next);
+  void TakeMove(Chain next);
+  /// The order was refused, or its engine did not answer.
+  void FailMove(bool is_engine_lost);
   /// Cancels the silent try and goes on with another. Without another server
   /// or the budget to ask it the try goes on: its server may only be slow.
   void ReplaceSilentTry();
@@ -122,6 +125,12 @@
   /// Starts the time within which the try has to make progress.
   void WatchProgress();
   void CheckProgress();
+  /// Moves a stream that is silent for longer than its gaps so far explain,
+  /// once one of its engines is silent for others too.
+  void MoveEarly();
+  /// Engines through which nothing has come since then are in doubt.
+  TimePoint QuietSince() const;
+  void StartProgressTimer(TimePoint due);
   void TimeOut();
   void GiveUp(std::string_view why);
   /// Time after which a caller whose request has not run should come back.
@@ -144,6 +153,7 @@
   TimePoint deadline{};
   ScopedTimer deadline_timer;
   ScopedTimer progress_timer;
+  TimePoint progress_due{};
 
   // The try under way.
   std::shared_ptr<UpstreamCall> call;
@@ -166,7 +176,11 @@
   bool slowed_down = false;   ///< The server waits for the caller.
   std::optional<std::uint64_t> last_event_id;
   TimePoint last_event_at{};  ///< Or the beginning of the try.
+  GapEstimate gaps;
   bool try_has_events = false;
+  Duration first_event_after{};  ///< From the arrival of the request.
+  Duration longest_gap{};        ///< Between events, over all tries.
+  std::optional<TimePoint> passed_event_at;  ///< Last one, of any try.
   /// When the stream was last moved to other engines; empty: not in this try.
   std::optional<TimePoint> moved_at;
   /// Lets an order that is under way see that the exchange is gone.
--- a/packages/relay/src/relay/exchange_answers.cc
+++ b/packages/relay/src/relay/exchange_answers.cc
@@ -194,6 +194,16 @@
 
 void Exchange::NoteEvents() {
   const TimePoint now = this->relay.Now();
+  if (this->passed_event_at) {
+    this->longest_gap =
+        std::max(this->longest_gap, now - *this->passed_event_at);
+  } else {
+    this->first_event_after = now - this->arrived;
+  }
+  this->passed_event_at = now;
+  if (this->try_has_events) {
+    this->gaps.Note(now - this->last_event_at);
+  }
   this->last_event_at = now;
   const bool first = !std::exchange(this->try_has_events, true);
   if (first) {
--- a/packages/relay/src/relay/exchange_silence.cc
+++ b/packages/relay/src/relay/exchange_silence.cc
@@ -19,9 +19,18 @@
 /// Longest wait for the head of a plain answer, in latency objectives. Servers
 /// answer within a fifth of the objective unless they are slow or gone.
 constexpr double kPlainObjectives = 2.0;
-/// Longest silence in a stream. Callers leave after a gap of 2 s; a gap of
-/// 200 ms makes the answer late.
-constexpr Duration kLongestGap = milliseconds(600);
+/// Longest silence in a stream, whatever its engines do for others. Callers
+/// leave after a gap of 2 s.
+constexpr Duration kLongestGap = GapEstimate::kMost;
+/// Others' last events through a lost engine may have come a little after those
+/// of the stream: this part of the stream's silence is allowed for.
+constexpr double kOthersLater = 0.4;
+/// Time until a silent stream whose engines all serve others is looked at
+/// again.
+constexpr Duration kLookAgain = milliseconds(25);
+/// A timer that is so late shows that this process was held up: what its
+/// servers have sent meanwhile is still to be read.
+constexpr Duration kHeldUp = milliseconds(50);
 /// Longest wait for the next event of a stream that was to go on over other
 /// engines: they read some thousand tokens, at a hundred a millisecond and
 /// slowed by other work. With the gap before it, callers still wait.
@@ -59,29 +68,67 @@
 }
 
 void Exchange::WatchProgress() {
-  Duration bound = kLongestGap;
+  Duration bound = this->gaps.Bound();
   if (!this->route->streaming) {
     bound = Times(this->route->latency_objective, kPlainObjectives);
   } else if (!this->try_has_events) {
     bound = std::max(kLeastFirstEvent, Times(this->route->latency_objective,
                                              kFirstEventObjectives));
   }
-  this->progress_timer.Start(this->last_event_at + bound,
-                             [this] { this->CheckProgress(); });
+  this->StartProgressTimer(this->last_event_at + bound);
+}
+
+void Exchange::StartProgressTimer(TimePoint due) {
+  this->progress_due = due;
+  this->progress_timer.Start(due, [this] { this->CheckProgress(); });
 }
 
 void Exchange::CheckProgress() {
+  const TimePoint now = this->relay.Now();
+  if (now - this->progress_due > kHeldUp) {
+    this->StartProgressTimer(now + kHeldUp);
+    return;
+  }
   const bool begun = this->try_has_events;
-  if (begun && this->relay.Now() - this->last_event_at < kLongestGap) {
+  const Duration silent = now - this->last_event_at;
+  if (begun && silent < this->gaps.Bound()) {
     this->WatchProgress();
     return;
   }
+  if (begun && silent < kLongestGap) {
+    this->MoveEarly();
+    return;
+  }
   if (begun && this->TryMove()) {
     return;
   }
   this->ReplaceSilentTry();
 }
 
+void Exchange::MoveEarly() {
+  const TimePoint late = this->last_event_at + kLongestGap;
+  if (!this->chain || this->relay.engines == nullptr) {
+    this->StartProgressTimer(late);
+    return;
+  }
+  const TimePoint quiet_since = this->QuietSince();
+  const auto& stages = this->chain->stages;
+  const bool is_engine_quiet =
+      std::any_of(stages.begin(), stages.end(), [&](const auto& stage) {
+        return stage.server->last_progress <= quiet_since;
+      });
+  if (!is_engine_quiet) {
+    this->StartProgressTimer(std::min(this->relay.Now() + kLookAgain, late));
+  } else if (!this->TryMove()) {
+    this->StartProgressTimer(late);
+  }
+}
+
+TimePoint Exchange::QuietSince() const {
+  const Duration silent = this->relay.Now() - this->last_event_at;
+  return this->last_event_at + Times(silent, kOthersLater);
+}
+
 bool Exchange::TryMove() {
   const bool moved_since =
       this->moved_at && *this->moved_at >= this->last_event_at;
@@ -91,7 +138,7 @@
   const ChainStage first = this->chain->stages.front();
   ChoiceQuery query = this->MakeQuery();
   std::vector<std::string> avoided = this->excluded;
-  for (const auto& server : this->SuspectChain(this->last_event_at)) {
+  for (const auto& server : this->SuspectChain(this->QuietSince())) {
     if (server != first.server) {
       avoided.push_back(server->record.id);
     }
@@ -105,8 +152,7 @@
     return false;
   }
   this->moved_at = this->relay.Now();
-  this->progress_timer.Start(*this->moved_at + kMoveBound,
-                             [this] { this->CheckProgress(); });
+  this->StartProgressTimer(*this->moved_at + kMoveBound);
   asio::co_spawn(this->relay.io,
                  OrderMove(this->relay, this, std::move(*next), this->alive),
                  asio::detached);
@@ -124,6 +170,7 @@
   const std::string text = ChainText(next);
   const auto outcome = co_await shared.engines->MoveStream(id, next);
   const bool taken = outcome && outcome.value() == OrderOutcome::kAccepted;
+  const bool is_lost = !outcome;
   shared.events.Record(EventId::kRelayStreamMoved,
                        {{"request", id},
                         {"chain", text},
@@ -134,17 +181,29 @@
       exchange->tries != moved_try) {
     co_return;
   }
-  exchange->EndMove(taken, std::move(next));
+  if (taken) {
+    exchange->TakeMove(std::move(next));
+  } else {
+    exchange->FailMove(is_lost);
+  }
 }
 
-void Exchange::EndMove(bool taken, Chain next) {
-  if (taken) {
-    this->RemoveLoad();
-    this->chain = std::move(next);
-    this->AddLoad();
-  } else if (*this->moved_at >= this->last_event_at) {
-    this->ReplaceSilentTry();
+void Exchange::TakeMove(Chain next) {
+  this->RemoveLoad();
+  this->chain = std::move(next);
+  this->AddLoad();
+}
+
+void Exchange::FailMove(bool is_engine_lost) {
+  if (*this->moved_at < this->last_event_at) {
+    return;  // The stream goes on by itself.
   }
+  const TimePoint late = this->last_event_at + kLongestGap;
+  if (!is_engine_lost && this->relay.Now() < late) {
+    this->StartProgressTimer(late);
+    return;
+  }
+  this->ReplaceSilentTry();
 }
 
 void Exchange::ReplaceSilentTry() {
@@ -165,7 +224,7 @@
        {"step", step},
        {"silent_ms", MillisText(this->relay.Now() - this->last_event_at)}});
   if (this->chain) {
-    this->SuspectChain(this->last_event_at);
+    this->SuspectChain(this->QuietSince());
   }
   std::vector<std::string> avoided = this->excluded;
   if (!this->chain) {
@@ -174,8 +233,7 @@
   Target target = this->ChooseTarget(avoided);
   if (target.server == nullptr ||
       !this->relay.allowance.TryTake(this->service->name, this->relay.Now())) {
-    this->progress_timer.Start(this->relay.Now() + kLongestGap,
-                               [this] { this->CheckProgress(); });
+    this->StartProgressTimer(this->relay.Now() + kLongestGap);
     return;
   }
   this->excluded = std::move(avoided);
--- a/packages/relay/tests/relay/stream_move_test.cc
+++ b/packages/relay/tests/relay/stream_move_test.cc
@@ -147,4 +147,72 @@
   CHECK(world.engines.moved.empty());
 }
 
+namespace {
+
+/// Lets the stream send events every 50 ms, the next of them number `first`.
+void SendSteadily(World& world, int first, int count) {
+  for (int id = first; id < first + count; ++id) {
+    world.first->last().channel->Write(Event(id, "d" + std::to_string(id)));
+    REQUIRE(world.harness.Receives(*world.caller, "d" + std::to_string(id)));
+    world.harness.runtime.Advance(milliseconds(50));
+  }
+}
+
+void NoteOthers(World& world, const std::vector<std::string>& engines) {
+  for (const auto& id : engines) {
+    world.harness.relay.servers.Find(id)->NoteProgress(
+        world.harness.relay.Now());
+  }
+}
+
+}  // namespace
+
+// A pause of 200 to 300 ms makes an answer late, and it was moved after 600.
+TEST_CASE("A steady stream is moved before its callers notice",
+          "[relay][exchange][streams][move]") {
+  World world;
+  SendSteadily(world, 2, 40);
+  SECTION("if an engine of it has fallen silent") {
+    NoteOthers(world, {"first"});
+    world.harness.runtime.Advance(milliseconds(110));
+    CHECK(world.engines.moved.size() == 1);
+  }
+  SECTION("but not while others come through all its engines") {
+    for (int step = 0; step < 11; ++step) {
+      NoteOthers(world, {"first", "rest", "spare"});
+      world.harness.runtime.Advance(milliseconds(10));
+    }
+    CHECK(world.engines.moved.empty());
+    world.harness.runtime.Advance(milliseconds(500));
+    CHECK(world.engines.moved.size() == 1);
+  }
+}
+
+// A process that woke from a freeze took all its streams for silent.
+TEST_CASE("A process that was held up reads before it judges",
+          "[relay][exchange][streams][move]") {
+  World world;
+  SendSteadily(world, 2, 40);
+  NoteOthers(world, {"first"});
+  world.harness.runtime.Advance(milliseconds(2000), milliseconds(2000));
+  CHECK(world.engines.moved.empty());
+  world.first->last().channel->Write(Event(42, "late"));
+  CHECK(world.harness.Receives(*world.caller, "late"));
+  world.harness.runtime.Advance(milliseconds(50));
+  CHECK(world.engines.moved.empty());
+}
+
+TEST_CASE("A stream that can't be moved early is given its time",
+          "[relay][exchange][streams][move]") {
+  World world;
+  SendSteadily(world, 2, 40);
+  NoteOthers(world, {"first"});
+  world.engines.outcome = OrderOutcome::kRefused;
+  world.harness.runtime.Advance(milliseconds(300));
+  CHECK(world.engines.moved.size() == 1);
+  CHECK(world.first->requests() == 1);
+  world.first->last().channel->Write(Event(42, "late"));
+  CHECK(world.harness.Receives(*world.caller, "late"));
+}
+
 }  // namespace qp::relay::testing
