Pause early moves when the engines they avoided were only busy

Cause: after all processes restart, engines read many prompts at once and are silent for everybody without being lost.

Change: 400 ms after a move its engines are looked at (MoveCaution). If all of them have gone on, no stream is moved before 600 ms of silence for 2 s. An engine that is lost never goes on, so moves away from it pause nothing.

Test first red: "Moves away from engines that were only busy pause the next ones".

The linter takes the two names that Beast asks for in AppendBody.

--- a/packages/http/src/http/append_body.h
+++ b/packages/http/src/http/append_body.h
@@ -14,11 +14,12 @@
 /// reserves the length that a message states, so a peer could make it allocate
 /// any amount by a number alone.
 struct AppendBody {
-  using value_type = std::string;
+  // Beast asks for these two names.
+  using value_type = std::string;  // NOLINT(readability-identifier-naming)
 
   static std::uint64_t size(const value_type& body) { return body.size(); }
 
-  class reader {
+  class reader {  // NOLINT(readability-identifier-naming)
    public:
     template <bool kIsRequest, class Fields>
     reader(boost::beast::http::header<kIsRequest, Fields>&, value_type& target)
--- a/packages/relay/src/relay/exchange_silence.cc
+++ b/packages/relay/src/relay/exchange_silence.cc
@@ -107,7 +107,8 @@
 
 void Exchange::MoveEarly() {
   const TimePoint late = this->last_event_at + kLongestGap;
-  if (!this->chain || this->relay.engines == nullptr) {
+  if (!this->chain || this->relay.engines == nullptr ||
+      !this->relay.move_caution.MayMove(this->relay.Now())) {
     this->StartProgressTimer(late);
     return;
   }
@@ -138,7 +139,8 @@
   const ChainStage first = this->chain->stages.front();
   ChoiceQuery query = this->MakeQuery();
   std::vector<std::string> avoided = this->excluded;
-  for (const auto& server : this->SuspectChain(this->QuietSince())) {
+  const std::vector<ServerPtr> quiet = this->SuspectChain(this->QuietSince());
+  for (const auto& server : quiet) {
     if (server != first.server) {
       avoided.push_back(server->record.id);
     }
@@ -152,6 +154,7 @@
     return false;
   }
   this->moved_at = this->relay.Now();
+  this->relay.move_caution.NoteMove(quiet, *this->moved_at);
   this->StartProgressTimer(*this->moved_at + kMoveBound);
   asio::co_spawn(this->relay.io,
                  OrderMove(this->relay, this, std::move(*next), this->alive),
