Let a stream that has begun wait a moment for another server

Change: a stream that has begun looks for a server every 100 ms until its gap is 1.5 s; callers leave after 2 s. A request that has not begun is refused at once, as before.

Tests first red: "A stream that breaks waits a moment for a server to go on with" (both sections). "A stream that can't be finished does not look whole" now lets those 1.5 s pass; what it checks is the same.

--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -25,6 +25,11 @@
 /// Longest Retry-After as a part of the caller's remaining time; callers do
 /// not wait for longer than a third.
 constexpr double kRetryShare = 0.3;
+/// Longest break of a stream that has begun, until another server takes it.
+/// Callers leave after a gap of 2 s, and the first event there takes its time.
+constexpr Duration kLongestBreak = milliseconds(1500);
+/// Time between two looks for such a server.
+constexpr Duration kBreakCheck = milliseconds(100);
 /// Neutral urgency of a request at an engine.
 constexpr int kDefaultUrgency = 5;
 
@@ -135,12 +140,12 @@
   this->relay.servers.Expire(this->relay.Now());
   Target target = this->ChooseTarget(this->excluded);
   if (target.server == nullptr) {
-    this->GiveUp("no server can take it");
+    this->WaitOrGiveUp("no server can take it");
     return;
   }
   if (this->tries > 0 &&
       !this->relay.allowance.TryTake(this->service->name, this->relay.Now())) {
-    this->GiveUp("the retry budget is used up");
+    this->WaitOrGiveUp("the retry budget is used up");
     return;
   }
   this->SendTo(std::move(target));
@@ -306,6 +311,17 @@
   }
 }
 
+void Exchange::WaitOrGiveUp(std::string_view why) {
+  const TimePoint now = this->relay.Now();
+  const bool may_wait = this->passed_event_at && this->answer_begun &&
+                        now - *this->passed_event_at < kLongestBreak;
+  if (!may_wait) {
+    this->GiveUp(why);
+    return;
+  }
+  this->progress_timer.Start(now + kBreakCheck, [this] { this->TryServers(); });
+}
+
 void Exchange::GiveUp(std::string_view why) {
   if (this->answer_begun) {
     this->NoteFinished("aborted", why);
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -133,6 +133,9 @@
   void StartProgressTimer(TimePoint due);
   void TimeOut();
   void GiveUp(std::string_view why);
+  /// Breaking a stream off costs its caller all of it, so one that has begun
+  /// waits for a server; anything else is given up at once.
+  void WaitOrGiveUp(std::string_view why);
   /// Time after which a caller whose request has not run should come back.
   Duration ReturnTime();
   void Refuse(const OwnAnswer& answer);
--- a/packages/relay/tests/relay/exchange_test.cc
+++ b/packages/relay/tests/relay/exchange_test.cc
@@ -34,6 +34,14 @@
   return peer.received.find(text) != std::string::npos;
 }
 
+/// Whether no server has a request of the relay.
+bool IsIdle(const RelayHarness& harness) {
+  bool idle = true;
+  harness.relay.servers.ForEach(
+      [&idle](const Server& server) { idle = idle && server.in_flight == 0; });
+  return idle;
+}
+
 /// The server that got the request, and another one.
 struct Pair {
   ScriptedServer* hit;
@@ -351,6 +359,8 @@
   REQUIRE(harness.Receives(caller, "data: a"));
   harness.relay.allowance.SetBound({0, 0, std::chrono::seconds(10)});
   server.last().channel->Close();
+  REQUIRE(harness.Until([&] { return IsIdle(harness); }));
+  harness.runtime.Advance(milliseconds(1600));
   CHECK(harness.Until([&] { return caller.ended; }));
   CHECK_FALSE(Has(caller, "0\r\n\r\n"));
 }
@@ -373,4 +383,53 @@
   CHECK_FALSE(caller.ended);
 }
 
+// With one engine lost, others were full for a moment, and 38 streams of one
+// second were broken off.
+TEST_CASE("A stream that breaks waits a moment for a server to go on with",
+          "[relay][exchange][streams]") {
+  RelayHarness harness;
+  harness.Configure({StreamRoute()});
+  harness.AddServer("s1");
+  harness.AddServer("s2");
+  Peer& caller = harness.Call(RelayHarness::Request("/s/x"));
+  const Pair pair = WhoGotIt(harness);
+  pair.hit->last().channel->Write(EventsHead("s") +
+                                  Chunk("id: 1\ndata: a\n\n"));
+  REQUIRE(harness.Receives(caller, "data: a"));
+  SECTION("that takes no requests for a while") {
+    for (const auto& id : harness.relay.servers.Ids()) {
+      harness.relay.servers.Find(id)->NotePause(harness.relay.Now(),
+                                                milliseconds(400));
+    }
+  }
+  SECTION("that there is no budget for") {
+    harness.relay.allowance.SetBound({0, 0, std::chrono::seconds(10)});
+  }
+  pair.hit->last().channel->Close();
+  REQUIRE(harness.Until([&] { return IsIdle(harness); }));
+  harness.runtime.Advance(milliseconds(390));
+  CHECK(pair.other->requests() == 0);
+  CHECK_FALSE(caller.ended);
+  harness.relay.allowance.SetBound({0.2, 100, std::chrono::seconds(10)});
+  harness.runtime.Advance(milliseconds(120));
+  REQUIRE(harness.Until(
+      [&] { return pair.hit->requests() + pair.other->requests() == 2; }));
+  auto& next = pair.other->requests() == 1 ? *pair.other : *pair.hit;
+  CHECK(Has(next.last(), "Last: 1"));
+  next.last().channel->Write(EventsHead("t") + Chunk("id: 2\ndata: b\n\n") +
+                             "0\r\n\r\n");
+  CHECK(harness.Receives(caller, "data: b\n\n\r\n0\r\n\r\n"));
+}
+
+TEST_CASE("A request that has not begun is refused at once without a server",
+          "[relay][exchange][streams]") {
+  RelayHarness harness;
+  harness.Configure({StreamRoute()});
+  harness.AddServer("s1");
+  harness.relay.servers.Find("s1")->NotePause(harness.relay.Now(),
+                                              milliseconds(400));
+  Peer& caller = harness.Call(RelayHarness::Request("/s/x"));
+  CHECK(harness.Receives(caller, "HTTP/1.1 503"));
+}
+
 }  // namespace qp::relay::testing
