Take back moving streams before 600 ms of silence

What stays: engines are judged by the last three fifths of a silence (kOthersLater), a held-up process reads first, an order to move waits 150 ms for its answer, and a refused one leaves the stream its time.

--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -187,7 +187,6 @@
   this->try_began = this->relay.Now();
   this->last_event_at = this->try_began;
   this->try_has_events = false;
-  this->gaps.Reset();
   this->moved_at.reset();
   this->head.reset();
   this->body.clear();
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -8,7 +8,6 @@
 #include <vector>
 
 #include "relay/event_splitter.h"
-#include "relay/gap_estimate.h"
 #include "relay/relay.h"
 #include "relay/responses.h"
 #include "relay/server_choice.h"
@@ -125,9 +124,6 @@
   /// Starts the time within which the try has to make progress.
   void WatchProgress();
   void CheckProgress();
-  /// Moves a stream that is silent for longer than its gaps so far explain,
-  /// once one of its engines is silent for others too.
-  void MoveEarly();
   /// Engines through which nothing has come since then are in doubt.
   TimePoint QuietSince() const;
   void StartProgressTimer(TimePoint due);
@@ -179,7 +175,6 @@
   bool slowed_down = false;   ///< The server waits for the caller.
   std::optional<std::uint64_t> last_event_id;
   TimePoint last_event_at{};  ///< Or the beginning of the try.
-  GapEstimate gaps;
   bool try_has_events = false;
   Duration first_event_after{};  ///< From the arrival of the request.
   Duration longest_gap{};        ///< Between events, over all tries.
--- a/packages/relay/src/relay/exchange_answers.cc
+++ b/packages/relay/src/relay/exchange_answers.cc
@@ -201,9 +201,6 @@
     this->first_event_after = now - this->arrived;
   }
   this->passed_event_at = now;
-  if (this->try_has_events) {
-    this->gaps.Note(now - this->last_event_at);
-  }
   this->last_event_at = now;
   const bool first = !std::exchange(this->try_has_events, true);
   if (first) {
--- a/packages/relay/src/relay/exchange_silence.cc
+++ b/packages/relay/src/relay/exchange_silence.cc
@@ -19,15 +19,14 @@
 /// Longest wait for the head of a plain answer, in latency objectives. Servers
 /// answer within a fifth of the objective unless they are slow or gone.
 constexpr double kPlainObjectives = 2.0;
-/// Longest silence in a stream, whatever its engines do for others. Callers
-/// leave after a gap of 2 s.
-constexpr Duration kLongestGap = GapEstimate::kMost;
+/// Longest silence in a stream. Callers leave after a gap of 2 s; a gap of
+/// 200 ms makes the answer late. Busy engines are silent for 300 ms and more,
+/// and a process of a large deployment has too few streams to tell them from
+/// lost ones.
+constexpr Duration kLongestGap = milliseconds(600);
 /// Others' last events through a lost engine may have come a little after those
 /// of the stream: this part of the stream's silence is allowed for.
 constexpr double kOthersLater = 0.4;
-/// Time until a silent stream whose engines all serve others is looked at
-/// again.
-constexpr Duration kLookAgain = milliseconds(25);
 /// A timer that is so late shows that this process was held up: what its
 /// servers have sent meanwhile is still to be read.
 constexpr Duration kHeldUp = milliseconds(50);
@@ -68,7 +67,7 @@
 }
 
 void Exchange::WatchProgress() {
-  Duration bound = this->gaps.Bound();
+  Duration bound = kLongestGap;
   if (!this->route->streaming) {
     bound = Times(this->route->latency_objective, kPlainObjectives);
   } else if (!this->try_has_events) {
@@ -91,12 +90,8 @@
   }
   const bool begun = this->try_has_events;
   const Duration silent = now - this->last_event_at;
-  if (begun && silent < this->gaps.Bound()) {
-    this->WatchProgress();
-    return;
-  }
   if (begun && silent < kLongestGap) {
-    this->MoveEarly();
+    this->WatchProgress();
     return;
   }
   if (begun && this->TryMove()) {
@@ -105,26 +100,6 @@
   this->ReplaceSilentTry();
 }
 
-void Exchange::MoveEarly() {
-  const TimePoint late = this->last_event_at + kLongestGap;
-  if (!this->chain || this->relay.engines == nullptr ||
-      !this->relay.move_caution.MayMove(this->relay.Now())) {
-    this->StartProgressTimer(late);
-    return;
-  }
-  const TimePoint quiet_since = this->QuietSince();
-  const auto& stages = this->chain->stages;
-  const bool is_engine_quiet =
-      std::any_of(stages.begin(), stages.end(), [&](const auto& stage) {
-        return stage.server->last_progress <= quiet_since;
-      });
-  if (!is_engine_quiet) {
-    this->StartProgressTimer(std::min(this->relay.Now() + kLookAgain, late));
-  } else if (!this->TryMove()) {
-    this->StartProgressTimer(late);
-  }
-}
-
 TimePoint Exchange::QuietSince() const {
   const Duration silent = this->relay.Now() - this->last_event_at;
   return this->last_event_at + Times(silent, kOthersLater);
@@ -139,8 +114,7 @@
   const ChainStage first = this->chain->stages.front();
   ChoiceQuery query = this->MakeQuery();
   std::vector<std::string> avoided = this->excluded;
-  const std::vector<ServerPtr> quiet = this->SuspectChain(this->QuietSince());
-  for (const auto& server : quiet) {
+  for (const auto& server : this->SuspectChain(this->QuietSince())) {
     if (server != first.server) {
       avoided.push_back(server->record.id);
     }
@@ -154,7 +128,6 @@
     return false;
   }
   this->moved_at = this->relay.Now();
-  this->relay.move_caution.NoteMove(quiet, *this->moved_at);
   this->StartProgressTimer(*this->moved_at + kMoveBound);
   asio::co_spawn(this->relay.io,
                  OrderMove(this->relay, this, std::move(*next), this->alive),
--- a/packages/relay/src/relay/relay.h
+++ b/packages/relay/src/relay/relay.h
@@ -10,7 +10,6 @@
 #include "foundation/event.h"
 #include "relay/deployment.h"
 #include "relay/deployment_store.h"
-#include "relay/move_caution.h"
 #include "relay/protocol.h"
 #include "relay/relay_metrics.h"
 #include "relay/retry_allowance.h"
@@ -55,7 +54,6 @@
   ServerDirectory servers;
   UpstreamPool pool;
   RetryAllowance allowance;
-  MoveCaution move_caution;
   std::mt19937_64 random;
   /// Null until the first configuration is known.
   std::shared_ptr<const ConfigurationInForce> in_force;
