Leave out what a refused move no longer needs

Streams are moved after 600 ms again, so a refused order has no time left to wait for: the branch that gave the stream its 600 ms could not be reached.

--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -115,7 +115,7 @@
                               std::weak_ptr<int> owner);
   void TakeMove(Chain next);
   /// The order was refused, or its engine did not answer.
-  void FailMove(bool is_engine_lost);
+  void FailMove();
   /// Cancels the silent try and goes on with another. Without another server
   /// or the budget to ask it the try goes on: its server may only be slow.
   void ReplaceSilentTry();
--- a/packages/relay/src/relay/exchange_silence.cc
+++ b/packages/relay/src/relay/exchange_silence.cc
@@ -146,7 +146,6 @@
   const std::string text = ChainText(next);
   const auto outcome = co_await shared.engines->MoveStream(id, next);
   const bool taken = outcome && outcome.value() == OrderOutcome::kAccepted;
-  const bool is_lost = !outcome;
   shared.events.Record(EventId::kRelayStreamMoved,
                        {{"request", id},
                         {"chain", text},
@@ -160,7 +159,7 @@
   if (taken) {
     exchange->TakeMove(std::move(next));
   } else {
-    exchange->FailMove(is_lost);
+    exchange->FailMove();
   }
 }
 
@@ -170,16 +169,11 @@
   this->AddLoad();
 }
 
-void Exchange::FailMove(bool is_engine_lost) {
-  if (*this->moved_at < this->last_event_at) {
-    return;  // The stream goes on by itself.
+void Exchange::FailMove() {
+  // If events have come meanwhile, the stream goes on by itself.
+  if (*this->moved_at >= this->last_event_at) {
+    this->ReplaceSilentTry();
   }
-  const TimePoint late = this->last_event_at + kLongestGap;
-  if (!is_engine_lost && this->relay.Now() < late) {
-    this->StartProgressTimer(late);
-    return;
-  }
-  this->ReplaceSilentTry();
 }
 
 void Exchange::ReplaceSilentTry() {
