Don't tell peers of a server that the same look saw removed

A page of the feed listed the server and removed it again. The process that looked compared each entry with the state before the page, so the removal of a server that it did not know yet was no change: its news had the listing alone, and its two peers used the server for as long as it was gone.

Change: of each server the last entry of a page counts.

Test first red: "A server that one look lists and removes is not told to peers".

--- a/packages/relay/src/relay/store_follower.cc
+++ b/packages/relay/src/relay/store_follower.cc
@@ -11,6 +11,20 @@
 
 namespace {
 
+/// Leaves the last entry of each server. One page can list a server and remove
+/// it again, and what is told to peers is compared with the state before.
+void KeepLatest(std::vector<ServerEntry>& entries) {
+  std::set<std::string, std::less<>> seen;
+  std::vector<ServerEntry> latest;
+  for (auto entry = entries.rbegin(); entry != entries.rend(); ++entry) {
+    if (seen.insert(entry->id).second) {
+      latest.push_back(std::move(*entry));
+    }
+  }
+  std::reverse(latest.begin(), latest.end());
+  entries = std::move(latest);
+}
+
 /// Age of what was true at `since`, as reports give it.
 std::uint32_t AgeMillis(TimePoint now, TimePoint since) {
   const Duration age = std::min<Duration>(now - since, std::chrono::hours(1));
@@ -183,7 +197,7 @@
   const bool whole = !this->server_revision.has_value();
   const std::uint64_t asked_from = this->server_revision.value_or(0);
   const TimePoint asked_at = this->clock.Now();
-  const auto page = co_await this->NextServers();
+  auto page = co_await this->NextServers();
   if (!page) {
     if (page.error().code == ErrorCode::kNotFound) {
       this->server_revision.reset();
@@ -191,6 +205,7 @@
     co_return this->NoteFailure(page.error());
   }
   this->NoteAnswer();
+  KeepLatest(page.value().entries);
   const Duration pause =
       kServerPause + Duration(std::uniform_int_distribution<Duration::rep>(
                          0, kServerSpread.count())(this->relay.random));
--- a/packages/relay/tests/relay/store_follower_test.cc
+++ b/packages/relay/tests/relay/store_follower_test.cc
@@ -290,6 +290,24 @@
   CHECK(news.entries.front().id == "s3");
 }
 
+// Peers were told of the listing and not of the removal, and used a server that
+// had left for as long as it was gone.
+TEST_CASE("A server that one look lists and removes is not told to peers",
+          "[relay][store]") {
+  Follower world;
+  ServerPage page = Listed(7, {"s2"});
+  page.entries.push_back({"s2", std::nullopt, true});
+  world.store.server_pages = {Listed(5, {"s1"}), page};
+  world.Start();
+  world.Look();
+  LoadReport report;
+  world.follower.Describe(report);
+  REQUIRE_FALSE(report.news.empty());
+  CHECK(report.news.front().to == 7);
+  CHECK(report.news.front().entries.empty());
+  CHECK(world.Usable() == 1);
+}
+
 TEST_CASE("A peer with a newer configuration makes this process read it",
           "[relay][store]") {
   Follower world;
