Reserve the ports of test programs across tests

Cause: two tests that run at once could start programs on one port. The process tests took a port that the system had just given out and closed again, from the range that it also gives to connections; the soak drew one of 15,000 ports per listener, and nothing held it until the program bound it.

An exchange of the process tests with the nng listener of another deployment raises http.client.BadStatusLine at once, at the line that was seen; a connection that is reset or closed is an OSError, which the set-up would have tried again. The logs of the two failed runs are gone, so which port it was is not known.

Ruled out: a daemon that closes connections while it starts (caught and tried again by the set-up). Not ruled out for the soak: an entry that takes more than 30 s to start; its next report will tell.

Change: one free_port for all tests, below the range of connections, which locks a file for each port until the test process ends.

--- a/tests/process/deployment.py
+++ b/tests/process/deployment.py
@@ -8,7 +8,8 @@
 import time
 
 from engines import start_engine
-from processes import exchange, exchange_json, free_port
+from ports import free_port
+from processes import exchange, exchange_json
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 OPERATOR_TOKEN = "example-operator-token"
--- a/tests/process/processes.py
+++ b/tests/process/processes.py
@@ -5,7 +5,6 @@
 import os
 import shutil
 import signal
-import socket
 import subprocess
 import tempfile
 import threading
@@ -16,13 +15,6 @@
 EXCHANGE_BOUND_S = 10
 
 
-def free_port():
-    """Port that the system considers free at the time of the call."""
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
-
-
 def exchange(address, method, target, body=None, headers=None, bound=EXCHANGE_BOUND_S):
     """One request on a connection of its own.
 
