Read answers to orders for servers that leave, and close their connections

Cause: a server says that it leaves in all its answers; only answers to requests were read for it. The holder of the lease learned it from the store at best and went on to order layers from an engine that was about to stop.

Change: any answer to an order or a question goes through the same headers; a LeavingListener is told of the engine and marks its incarnation as leaving (event 7010). Orders ask for the end of their connection, and the HTTP client does not keep the connection of such a request whatever the answer says.

Ruled out: to take Retry-After of a refused order for a pause. The rule concerns requests, and engines refuse orders while they load.

--- a/packages/http/src/http/client.cc
+++ b/packages/http/src/http/client.cc
@@ -268,7 +268,7 @@
     auto response = co_await Exchange(*link, address, request);
     const bool expired = link->watchdog.expired();
     if (response) {
-      if (response.value().keep_alive()) {
+      if (response.value().keep_alive() && request.keep_alive()) {
         shared->Keep(address, std::move(link));
       }
       co_return response;
@@ -286,7 +286,7 @@
     co_return connected.error();
   }
   auto response = co_await Exchange(*link, address, request);
-  if (response && response.value().keep_alive()) {
+  if (response && response.value().keep_alive() && request.keep_alive()) {
     shared->Keep(address, std::move(link));
   }
   co_return response;
--- a/packages/http/src/http/client.h
+++ b/packages/http/src/http/client.h
@@ -28,7 +28,8 @@
 enum class Connection { kReuse, kFresh };
 
 /// HTTP/1.1 client with kept connections for each address. A connection that
-/// failed or exceeded a bound is closed and never used again.
+/// failed or exceeded a bound is closed and never used again, and so is that of
+/// a request with "Connection: close", whatever its answer says.
 ///
 /// Errors tell how far an exchange came: kUnavailable means that nothing was
 /// written; kUnknownEffect that the request was written, wholly or in part,
--- a/packages/http/tests/http/exchange_test.cc
+++ b/packages/http/tests/http/exchange_test.cc
@@ -106,6 +106,37 @@
   CHECK(response->error().peer == fixture.address);
 }
 
+// The holder of the orders kept a connection to every engine of the fleet.
+TEST_CASE("A connection is kept only if its request does not ask for its end",
+          "[http]") {
+  Fixture fixture;
+  qp::asio::ip::tcp::acceptor server(fixture.runtime.io(),
+                                     {qp::asio::ip::address_v4::loopback(), 0});
+  qp::asio::ip::tcp::socket accepted(fixture.runtime.io());
+  server.async_accept(accepted, [&](boost::system::error_code) {
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    accepted.send(qp::asio::buffer(answer));
+  });
+  fixture.address =
+      "127.0.0.1:" + std::to_string(server.local_endpoint().port());
+  const bool keep = GENERATE(true, false);
+  auto request = qp::http::MakeRequest(qp::http::Verb::post, "/", "");
+  request.keep_alive(keep);
+  const auto response = fixture.runtime.RunFor(
+      fixture.client.Send(fixture.address, std::move(request), 1s), 2s);
+  REQUIRE(response.has_value());
+  REQUIRE(response->has_value());
+
+  std::string received(512, '\0');
+  boost::system::error_code failure;
+  accepted.non_blocking(true);
+  accepted.receive(qp::asio::buffer(received), 0, failure);  // The request.
+  accepted.receive(qp::asio::buffer(received), 0, failure);
+  CHECK(failure ==
+        (keep ? boost::system::error_code(qp::asio::error::would_block)
+              : boost::system::error_code(qp::asio::error::eof)));
+}
+
 TEST_CASE("A refused connection proves that nothing was sent", "[http]") {
   Fixture fixture;
   fixture.server.Stop();
--- a/packages/relay/src/relay/deployment_store.h
+++ b/packages/relay/src/relay/deployment_store.h
@@ -66,10 +66,19 @@
   LayerRange layers;
 };
 
+/// Is told of servers that say in an answer to an order that they leave.
+class LeavingListener {
+ public:
+  virtual ~LeavingListener() = default;
+  virtual void OnLeaving(const ServerRecord& server) = 0;
+};
+
 /// Orders to engines.
 class EngineControl {
  public:
   virtual ~EngineControl() = default;
+  /// `listener` lives as long as orders are given.
+  virtual void TellOfLeaving(LeavingListener& listener) = 0;
   /// Orders an engine to hold `layers` in place of what it holds, if it has
   /// begun `order_count` orders since its start. Requests that pass through
   /// layers that it gives up are finished first. Without an answer the order
--- a/packages/relay/src/relay/entry_daemon.cc
+++ b/packages/relay/src/relay/entry_daemon.cc
@@ -10,6 +10,7 @@
 #include "relay/caller_listener.h"
 #include "relay/entry_registry.h"
 #include "relay/layer_keeper.h"
+#include "relay/leaving_notes.h"
 #include "relay/limited_event_sink.h"
 #include "relay/relay.h"
 #include "relay/store_follower.h"
@@ -82,6 +83,7 @@
         lease(*services.table, time, events, "lease/layers",
               settings.node + "/" + std::to_string(seed), kLayerLease),
         keeper(relay, time, *services.engines, lease),
+        leaving_notes(relay),
         exchange(relay, time, settings.node, *this),
         registry(relay, time, *services.table, exchange, settings.node,
                  settings.peer_address),
@@ -89,6 +91,7 @@
         readiness(context, time, http::ServerLimits{}, status),
         metrics(context, time, http::ServerLimits{}, status) {
     this->relay.engines = services.engines;
+    services.engines->TellOfLeaving(this->leaving_notes);
     this->follower.on_change = [this] { this->NoteReadiness(); };
     this->follower.on_look = [this] { this->exchange.SendNews(); };
   }
@@ -188,6 +191,7 @@
   Lease lease;
   LayerKeeper keeper;
   LoadExchange exchange;
+  LeavingNotes leaving_notes;
   EntryRegistry registry;
   StatusHandler status;
   http::Server readiness;
--- a/packages/relay/src/relay/exchange_answers.cc
+++ b/packages/relay/src/relay/exchange_answers.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "relay/exchange.h"
+#include "relay/leaving_notes.h"
 #include "relay/log_text.h"
 #include "relay/status.h"
 
@@ -33,10 +34,8 @@
     told.reported_busy = *answer.running + answer.waiting.value_or(0);
     told.reported_at = this->relay.Now();
   }
-  if (answer.leaving && !std::exchange(told.leaving, true)) {
-    this->relay.events.Record(
-        EventId::kServerLeaving,
-        {{"server", told.record.id}, {"request", this->facts.attempt_id}});
+  if (answer.leaving) {
+    NoteLeaving(this->relay, told, this->facts.attempt_id);
   }
   if (status == kUnavailableStatus && answer.retry_after) {
     told.NotePause(this->relay.Now(), *answer.retry_after);
--- a/packages/relay/tests/relay/layer_keeper_test.cc
+++ b/packages/relay/tests/relay/layer_keeper_test.cc
@@ -20,6 +20,7 @@
     std::uint64_t order_count;
   };
 
+  void TellOfLeaving(LeavingListener&) override {}
   Task<Result<OrderOutcome>> Hold(ServerRecord engine, LayerRange layers,
                                   std::uint64_t order_count) override {
     this->orders.push_back({engine.id, layers, order_count});
--- a/packages/relay/tests/relay/server_notice_test.cc
+++ b/packages/relay/tests/relay/server_notice_test.cc
@@ -1,6 +1,7 @@
 // Servers that say that they leave, or that they want no requests for a while.
 #include <catch2/catch.hpp>
 
+#include "relay/leaving_notes.h"
 #include "relay/relay_harness.h"
 
 namespace qp::relay::testing {
@@ -97,6 +98,27 @@
   CHECK_FALSE(caller.ended);  // What runs there goes on.
 }
 
+TEST_CASE("A server that leaves by its answer to an order gets no request",
+          "[relay][exchange][leaving]") {
+  RelayHarness harness;
+  harness.Configure({MakeRoute("/a/", Repeat::kAlways)});
+  auto& server = harness.AddServer("s1");
+  auto record = harness.relay.servers.Find("s1")->record;
+  LeavingNotes notes(harness.relay);
+  SECTION("said by the process that is listed") {
+    notes.OnLeaving(record);
+    Peer& caller = harness.Call(RelayHarness::Request("/a/x"));
+    CHECK(harness.Receives(caller, "HTTP/1.1 503"));
+    CHECK(server.requests() == 0);
+  }
+  SECTION("not if said by a former process of that server") {
+    --record.incarnation;
+    notes.OnLeaving(record);
+    harness.Call(RelayHarness::Request("/a/x"));
+    CHECK(harness.Gets(server, 1));
+  }
+}
+
 // Callers were sent to a server that had just asked for a pause.
 TEST_CASE("A server that asks for a pause gets nothing before its end",
           "[relay][exchange][pause]") {
--- a/packages/relay/tests/relay/stream_move_test.cc
+++ b/packages/relay/tests/relay/stream_move_test.cc
@@ -9,6 +9,7 @@
 /// Takes orders to move streams, and gives the answer that the test has set.
 class MovingEngines : public EngineControl {
  public:
+  void TellOfLeaving(LeavingListener&) override {}
   Task<Result<OrderOutcome>> Hold(ServerRecord, LayerRange,
                                   std::uint64_t) override {
     co_return OrderOutcome::kRefused;
