Let the settings bound what is held of an answer

Cause: the bounds on heads, events, held and unsent bytes of servers in trouble were constants; an operator with larger events or smaller VMs had to build the product.

Change: AnswerLimits, optional in the settings as answer_limits, checked at the start with the JSON pointer of each mistake (4 KB to 16 MB). Defaults are the former constants. Settings of entries had no test of their own; they have one now.

Tests first red (reading taken out, range widened, constant put back): two cases of entry_settings_test, one of hostile_answer_test.

--- a/packages/relay/src/relay/entry_daemon.cc
+++ b/packages/relay/src/relay/entry_daemon.cc
@@ -91,6 +91,7 @@
         readiness(context, time, http::ServerLimits{}, status),
         metrics(context, time, http::ServerLimits{}, status) {
     this->relay.engines = services.engines;
+    this->relay.answer_limits = this->settings.answer_limits;
     services.engines->TellOfLeaving(this->leaving_notes);
     this->follower.on_change = [this] { this->NoteReadiness(); };
     this->follower.on_look = [this] { this->exchange.SendNews(); };
@@ -190,8 +191,8 @@
   StoreFollower follower;
   Lease lease;
   LayerKeeper keeper;
-  LoadExchange exchange;
   LeavingNotes leaving_notes;
+  LoadExchange exchange;
   EntryRegistry registry;
   StatusHandler status;
   http::Server readiness;
--- a/packages/relay/src/relay/entry_settings.cc
+++ b/packages/relay/src/relay/entry_settings.cc
@@ -12,6 +12,10 @@
 namespace {
 
 constexpr double kLongestMs = 600'000;
+/// Of a limit on answers: sound ones fit into the fewest, and the most leaves
+/// room for some hundred requests.
+constexpr std::uint64_t kFewestBytes = 4 * 1024;
+constexpr std::uint64_t kMostBytes = 16 * 1024 * 1024;
 
 Duration Millis(double value) {
   return std::chrono::duration_cast<Duration>(
@@ -34,6 +38,22 @@
   });
 }
 
+void ReadAnswerLimits(JsonReader& reader, AnswerLimits& limits) {
+  if (!reader.Has("answer_limits")) {
+    return;
+  }
+  reader.Object("answer_limits", [&limits](JsonReader& given) {
+    const auto read = [&given](const char* key, std::size_t& bytes) {
+      bytes = given.IntegerOr(key, kFewestBytes, kMostBytes, bytes);
+    };
+    read("head_bytes", limits.head_bytes);
+    read("event_bytes", limits.event_bytes);
+    read("held_bytes", limits.held_bytes);
+    read("unsent_bytes", limits.unsent_bytes);
+    read("skipped_bytes", limits.skipped_bytes);
+  });
+}
+
 std::string ReadLogLevel(JsonReader& reader) {
   constexpr std::array<std::string_view, 4> kLevels = {"debug", "info",
                                                        "warning", "error"};
@@ -70,6 +90,7 @@
   settings.grace_period =
       Millis(reader.Number("grace_period_ms", 0, kLongestMs));
   ReadRetry(reader, settings.retry);
+  ReadAnswerLimits(reader, settings.answer_limits);
   settings.log_level = ReadLogLevel(reader);
   reader.Finish();
   if (!mistakes.empty()) {
--- a/packages/relay/src/relay/entry_settings.h
+++ b/packages/relay/src/relay/entry_settings.h
@@ -5,6 +5,7 @@
 
 #include "foundation/clock.h"
 #include "foundation/error.h"
+#include "relay/answer_limits.h"
 #include "relay/retry_allowance.h"
 
 namespace qp::relay {
@@ -22,6 +23,7 @@
   /// Time from the request to stop until the process is killed.
   Duration grace_period{};
   RetryAllowance::Bound retry;
+  AnswerLimits answer_limits;
   std::string log_level = "info";  ///< debug, info, warning or error.
 };
 
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -203,7 +203,7 @@
   forward.urgency = std::clamp(this->priority + kDefaultUrgency - 1, 0, 9);
   this->call = std::make_shared<UpstreamCall>(
       this->relay.io, this->relay.timers, this->relay.pool,
-      this->relay.protocol, this->server, *this);
+      this->relay.protocol, this->relay.answer_limits, this->server, *this);
   // A kept connection may be closing already, and the caller of a request
   // that must not run twice could then only be told that it may have run.
   const bool fresh = !this->MayRepeat();
--- a/packages/relay/src/relay/exchange_answers.cc
+++ b/packages/relay/src/relay/exchange_answers.cc
@@ -18,13 +18,6 @@
 /// Status of a server that is not the one that the request names.
 constexpr unsigned kWrongServerStatus = 421;
 constexpr unsigned kFirstServerError = 500;
-/// Largest plain answer that is held until it is whole, so that the request can
-/// still be tried elsewhere; longer ones are passed on as they arrive.
-constexpr std::size_t kMaxHeldBytes = 64 * 1024;
-/// Largest event of a stream; servers send some hundred bytes in one.
-constexpr std::size_t kMaxEventBytes = 64 * 1024;
-/// Bytes that wait for a slow caller before its server is slowed down.
-constexpr std::size_t kMaxUnsentBytes = 64 * 1024;
 
 }  // namespace
 
@@ -130,7 +123,8 @@
   if (this->IsStream()) {
     this->splitter.Append(bytes);
     this->HandleEvents();
-    if (this->splitter.partial_bytes() > kMaxEventBytes) {
+    if (this->splitter.partial_bytes() >
+        this->relay.answer_limits.event_bytes) {
       this->FailAnswer("an event is too long");
       return;
     }
@@ -138,7 +132,7 @@
     this->sink.Write(WriteChunk(bytes));
   } else {
     this->body.append(bytes);
-    if (this->body.size() > kMaxHeldBytes) {
+    if (this->body.size() > this->relay.answer_limits.held_bytes) {
       this->BeginAnswer();
       this->sink.Write(WriteChunk(std::exchange(this->body, {})));
     }
@@ -147,7 +141,8 @@
 }
 
 void Exchange::SlowDownServer() {
-  if (this->call != nullptr && this->sink.unsent() > kMaxUnsentBytes) {
+  if (this->call != nullptr &&
+      this->sink.unsent() > this->relay.answer_limits.unsent_bytes) {
     this->slowed_down = true;
     this->progress_timer.Cancel();
     this->call->Pause();
--- a/packages/relay/src/relay/relay.h
+++ b/packages/relay/src/relay/relay.h
@@ -8,6 +8,7 @@
 
 #include "foundation/asio.h"
 #include "foundation/event.h"
+#include "relay/answer_limits.h"
 #include "relay/deployment.h"
 #include "relay/deployment_store.h"
 #include "relay/protocol.h"
@@ -60,6 +61,7 @@
   double processes_in_zone = 1;  ///< Processes of this zone, this one included.
   bool other_zones_known = true;  ///< Whether they report their load.
   bool draining = false;
+  AnswerLimits answer_limits;
   EngineControl* engines = nullptr;  ///< Null where there are no engines.
 };
 
--- a/packages/relay/src/relay/upstream_call.cc
+++ b/packages/relay/src/relay/upstream_call.cc
@@ -20,10 +20,12 @@
 
 UpstreamCall::UpstreamCall(asio::io_context& context, TimerQueue& queue,
                            UpstreamPool& connections, const Protocol& wire,
-                           ServerPtr target, CallListener& receiver)
+                           const AnswerLimits& bounds, ServerPtr target,
+                           CallListener& receiver)
     : io(context),
       pool(connections),
       protocol(wire),
+      limits(bounds),
       server(std::move(target)),
       listener(&receiver),
       connect_timer(queue),
@@ -85,7 +87,8 @@
 void UpstreamCall::NewParser() {
   this->parser.emplace();
   this->parser->eager(true);
-  this->parser->header_limit(kMaxUnparsedBytes);
+  this->parser->header_limit(
+      static_cast<std::uint32_t>(this->limits.head_bytes));
   // Bodies are taken out as they arrive. Without a limit, Beast 1.74 refuses
   // every body that states its length.
   this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -143,7 +146,7 @@
 void UpstreamCall::ParseAll() {
   while (!this->input.empty() && this->Parse()) {
   }
-  if (this->input.size() > kMaxUnparsedBytes) {
+  if (this->input.size() > this->limits.head_bytes) {
     this->Fail(ErrorCode::kProtocol, "a part of the answer is too long");
   }
 }
@@ -177,7 +180,7 @@
 }
 
 bool UpstreamCall::IsSkippedTooLong() const {
-  return this->foreign_bytes > kMaxForeignBytes ||
+  return this->foreign_bytes > this->limits.skipped_bytes ||
          this->discarded_bytes > kMaxDiscardedBytes;
 }
 
--- a/packages/relay/src/relay/upstream_call.h
+++ b/packages/relay/src/relay/upstream_call.h
@@ -9,6 +9,7 @@
 
 #include "foundation/error.h"
 #include "http/append_body.h"
+#include "relay/answer_limits.h"
 #include "relay/channel.h"
 #include "relay/protocol.h"
 #include "relay/server.h"
@@ -50,8 +51,8 @@
 /// earlier request of the connection is told apart by its id and skipped, and
 /// so are interim answers.
 ///
-/// Whatever a server sends, a call keeps no more than kMaxUnparsedBytes of it
-/// beside what one read brings.
+/// Whatever a server sends, a call keeps no more than AnswerLimits::head_bytes
+/// of it beside what one read brings.
 class UpstreamCall : public ChannelReader,
                      public std::enable_shared_from_this<UpstreamCall> {
  public:
@@ -60,21 +61,16 @@
   /// try.
   static constexpr Duration kConnectBound = std::chrono::milliseconds(350);
 
-  /// Largest head, or other part that can only be read as a whole. Servers
-  /// answer with a dozen short headers.
-  static constexpr std::uint32_t kMaxUnparsedBytes = 64 * 1024;
   /// Interim answers (1xx) before the final one; servers send one at most.
   static constexpr int kMostInterimAnswers = 8;
-  /// Bytes of an answer to another request that are read to get past it.
-  static constexpr std::size_t kMaxForeignBytes = 256 * 1024;
   /// Bytes and time for the rest of an answer that nobody needs, so that its
   /// connection can be used again.
   static constexpr std::size_t kMaxDiscardedBytes = 64 * 1024;
   static constexpr Duration kDiscardBound = std::chrono::milliseconds(200);
 
   UpstreamCall(asio::io_context& io, TimerQueue& timers, UpstreamPool& pool,
-               const Protocol& protocol, ServerPtr server,
-               CallListener& listener);
+               const Protocol& protocol, const AnswerLimits& limits,
+               ServerPtr server, CallListener& listener);
 
   /// `bytes` is the whole request. `fresh` asks for a new connection.
   void Start(std::string attempt_id, std::string bytes, bool fresh,
@@ -112,6 +108,7 @@
   asio::io_context& io;
   UpstreamPool& pool;
   const Protocol& protocol;
+  const AnswerLimits& limits;
   ServerPtr server;
   CallListener* listener;
   ScopedTimer connect_timer;
--- /dev/null
+++ b/packages/relay/tests/relay/entry_settings_test.cc
@@ -0,0 +1,92 @@
+#include "relay/entry_settings.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <nlohmann/json.hpp>
+
+namespace qp::relay::testing {
+
+namespace {
+
+using Json = nlohmann::json;
+
+Json SoundSettings() {
+  return Json::parse(R"({
+    "node": "entry-1", "availability_zone": "north-a",
+    "caller_address": "127.0.0.1:8080", "readiness_address": "127.0.0.1:8081",
+    "metrics_address": "127.0.0.1:8082", "peer_address": "127.0.0.1:8083",
+    "store": {"address": "127.0.0.1:9000"}, "grace_period_ms": 8000,
+    "retry_budget": {"ratio": 0.2, "extra": 24, "window_ms": 10000}})");
+}
+
+std::string MistakesIn(const Json& settings) {
+  const auto parsed = ParseEntrySettings(settings.dump());
+  return parsed ? "" : parsed.error().detail;
+}
+
+}  // namespace
+
+TEST_CASE("Limits on answers that are not set have defaults",
+          "[relay][settings]") {
+  const auto parsed = ParseEntrySettings(SoundSettings().dump());
+  REQUIRE(parsed);
+  CHECK(parsed.value().grace_period == std::chrono::seconds(8));
+  CHECK(parsed.value().answer_limits.head_bytes == 64 * 1024);
+  CHECK(parsed.value().answer_limits.skipped_bytes == 256 * 1024);
+}
+
+TEST_CASE("Limits on answers are read from the settings", "[relay][settings]") {
+  Json settings = SoundSettings();
+  settings["answer_limits"] = {{"head_bytes", 8192},
+                               {"event_bytes", 16384},
+                               {"held_bytes", 32768},
+                               {"unsent_bytes", 4096},
+                               {"skipped_bytes", 1000000}};
+  const auto parsed = ParseEntrySettings(settings.dump());
+  REQUIRE(parsed);
+  const AnswerLimits& limits = parsed.value().answer_limits;
+  CHECK(limits.head_bytes == 8192);
+  CHECK(limits.event_bytes == 16384);
+  CHECK(limits.held_bytes == 32768);
+  CHECK(limits.unsent_bytes == 4096);
+  CHECK(limits.skipped_bytes == 1000000);
+}
+
+// An operator who mistypes a limit must not run without it.
+TEST_CASE("A limit on answers that is out of range or unknown is a mistake",
+          "[relay][settings]") {
+  Json settings = SoundSettings();
+  SECTION("too small for a sound answer") {
+    settings["answer_limits"] = {{"head_bytes", 100}};
+    CHECK(MistakesIn(settings).find("/answer_limits/head_bytes") !=
+          std::string::npos);
+  }
+  SECTION("so large that it bounds nothing") {
+    settings["answer_limits"] = {{"held_bytes", 1'000'000'000'000}};
+    CHECK(MistakesIn(settings).find("/answer_limits/held_bytes") !=
+          std::string::npos);
+  }
+  SECTION("mistyped") {
+    settings["answer_limits"] = {{"event_byte", 65536}};
+    CHECK(MistakesIn(settings).find("/answer_limits/event_byte") !=
+          std::string::npos);
+  }
+  SECTION("of another type") {
+    settings["answer_limits"] = 65536;
+    CHECK(MistakesIn(settings).find("/answer_limits") != std::string::npos);
+  }
+}
+
+TEST_CASE("All mistakes are reported at once", "[relay][settings]") {
+  Json settings = SoundSettings();
+  settings.erase("node");
+  settings["caller_address"] = "somewhere";
+  settings["retry_budget"]["ratio"] = -1;
+  const std::string mistakes = MistakesIn(settings);
+  for (const char* pointer :
+       {"/node", "/caller_address", "/retry_budget/ratio"}) {
+    CHECK(mistakes.find(pointer) != std::string::npos);
+  }
+}
+
+}  // namespace qp::relay::testing
--- a/packages/relay/tests/relay/hostile_answer_test.cc
+++ b/packages/relay/tests/relay/hostile_answer_test.cc
@@ -106,6 +106,22 @@
   CHECK(world.other->last().received.find("Last: 1") != std::string::npos);
 }
 
+TEST_CASE("The settings say which event is too long",
+          "[relay][hostile][streams]") {
+  const bool tight = GENERATE(true, false);
+  TwoServers world(true);
+  if (tight) {
+    world.harness.relay.answer_limits.event_bytes = 8 * 1024;
+  }
+  world.hit->last().channel->Write(kSigned +
+                                   "Transfer-Encoding: chunked\r\n\r\n" +
+                                   Chunk("id: 1\ndata: a\n\nid: 2\ndata: ") +
+                                   Chunk(std::string(16 * 1024, 'x')));
+  REQUIRE(world.harness.Receives(*world.caller, "data: a"));
+  world.harness.runtime.Settle();
+  CHECK((world.other->requests() == 1) == tight);
+}
+
 // An unsigned success was collected whole before it was thrown away.
 TEST_CASE("What nobody needs of an answer is not waited for",
           "[relay][hostile]") {
