Order a refused move over other engines, and count its load at once

Streams that fall silent together all chose the same engines, as load was counted there only after an order had been taken, and a refusal led to a new try at once, until the retry budget was used up (20 streams broken off).

Change: ChainLoad counts the load of a chain as long as it lives, also that of a move under way. A refusal that names an engine keeps requests away from it, and the move is ordered over another one, at most four times.

Tests first red (change taken out): "A move that a full engine refuses is ordered over another one", "Moves that are refused again and again end", "The load of a moved stream counts from the order on".

--- /dev/null
+++ b/packages/relay/src/relay/chain_load.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "relay/server_choice.h"
+
+namespace qp::relay {
+
+/// Load of one request on the engines of a chain, counted as long as this
+/// object lives.
+class ChainLoad {
+ public:
+  /// `tokens`: see MemoryTokens.
+  ChainLoad(Chain over, double tokens);
+  ~ChainLoad();
+  ChainLoad(const ChainLoad&) = delete;
+  ChainLoad& operator=(const ChainLoad&) = delete;
+
+  const Chain& chain() const { return this->counted; }
+
+ private:
+  Chain counted;
+  double tokens;
+};
+
+}  // namespace qp::relay
--- a/packages/relay/src/relay/deployment_store.h
+++ b/packages/relay/src/relay/deployment_store.h
@@ -58,6 +58,13 @@
   kRefused,
 };
 
+/// How an order to move a stream was taken.
+struct MoveAnswer {
+  OrderOutcome outcome = OrderOutcome::kRefused;
+  /// Address of the engine that is gone or has no room; empty if unknown.
+  std::string refuser;
+};
+
 /// What an engine says of itself.
 struct EngineState {
   std::int64_t incarnation = 0;
@@ -90,8 +97,8 @@
   /// Orders the first engine of `chain` to run a stream that it has begun over
   /// the engines of `chain` from now on. Engines that had a part in it and keep
   /// it go on with their memory, the others read all tokens so far.
-  virtual Task<Result<OrderOutcome>> MoveStream(std::string attempt_id,
-                                                Chain chain) = 0;
+  virtual Task<Result<MoveAnswer>> MoveStream(std::string attempt_id,
+                                              Chain chain) = 0;
 };
 
 }  // namespace qp::relay
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -244,35 +244,23 @@
   this->progress_timer.Cancel();
 }
 
+double Exchange::Tokens() const {
+  return MemoryTokens(this->facts.prompt_tokens, this->facts.output_tokens);
+}
+
 void Exchange::AddLoad() {
-  if (!this->chain) {
+  if (this->chain) {
+    this->load = std::make_unique<ChainLoad>(*this->chain, this->Tokens());
+  } else {
     ++this->server->in_flight;
-    return;
-  }
-  const double tokens =
-      MemoryTokens(this->facts.prompt_tokens, this->facts.output_tokens);
-  for (const auto& stage : this->chain->stages) {
-    const double token_layers = tokens * stage.layers.size();
-    ++stage.server->in_flight;
-    stage.server->kv_token_layers += token_layers;
-    ++stage.server->unreported_streams;
-    stage.server->unreported_kv_token_layers += token_layers;
   }
 }
 
 void Exchange::RemoveLoad() {
-  if (!this->chain) {
-    if (this->server != nullptr) {
-      this->server->in_flight -= this->server->in_flight > 0 ? 1 : 0;
-    }
-    return;
-  }
-  const double tokens =
-      MemoryTokens(this->facts.prompt_tokens, this->facts.output_tokens);
-  for (const auto& stage : this->chain->stages) {
-    stage.server->in_flight -= stage.server->in_flight > 0 ? 1 : 0;
-    stage.server->kv_token_layers = std::max(
-        0.0, stage.server->kv_token_layers - tokens * stage.layers.size());
+  if (this->chain) {
+    this->load.reset();
+  } else if (this->server != nullptr) {
+    this->server->in_flight -= this->server->in_flight > 0 ? 1 : 0;
   }
 }
 
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "relay/chain_load.h"
 #include "relay/event_splitter.h"
 #include "relay/relay.h"
 #include "relay/responses.h"
@@ -104,18 +105,25 @@
   void AbandonTry();
   /// Takes the load of the try off its servers.
   void ReleaseTry();
+  double Tokens() const;  ///< For which the request takes memory.
   void AddLoad();
   void RemoveLoad();
   /// Lets a silent stream go on over other engines behind its first one. That
   /// is no further arrival, so it needs no retry budget. False if there is no
   /// such chain or the stream was moved in this silence already.
   bool TryMove();
-  /// Outlives the exchange, which it touches only while `owner` lives.
-  static Task<void> OrderMove(Relay& relay, Exchange* exchange, Chain next,
+  /// Orders a move to a chain without `move_avoided`; false if there is none.
+  bool OrderNextMove();
+  /// Outlives the exchange, which it touches only while `owner` lives. The load
+  /// is counted on the new chain from the order on, so that streams that fall
+  /// silent together don't all choose the same engines.
+  static Task<void> OrderMove(Relay& relay, Exchange* exchange,
+                              std::unique_ptr<ChainLoad> next,
                               std::weak_ptr<int> owner);
-  void TakeMove(Chain next);
-  /// The order was refused, or its engine did not answer.
-  void FailMove();
+  void TakeMove(std::unique_ptr<ChainLoad> next);
+  /// The order was refused, because of the engine at `refuser` unless that is
+  /// empty, or was not answered.
+  void FailMove(std::string_view refuser);
   /// Cancels the silent try and goes on with another. Without another server
   /// or the budget to ask it the try goes on: its server may only be slow.
   void ReplaceSilentTry();
@@ -158,6 +166,7 @@
   std::shared_ptr<UpstreamCall> call;
   ServerPtr server;
   std::optional<Chain> chain;
+  std::unique_ptr<ChainLoad> load;  ///< Null without a chain.
   TimePoint try_began{};
   std::optional<ResponseHead> head;
   std::string body;
@@ -181,6 +190,8 @@
   std::optional<TimePoint> passed_event_at;  ///< Last one, of any try.
   /// When the stream was last moved to other engines; empty: not in this try.
   std::optional<TimePoint> moved_at;
+  int move_orders = 0;                    ///< Of the move under way.
+  std::vector<std::string> move_avoided;  ///< Engines that it must not use.
   /// Lets an order that is under way see that the exchange is gone.
   std::shared_ptr<int> alive = std::make_shared<int>(0);
 };
--- a/packages/relay/src/relay/exchange_silence.cc
+++ b/packages/relay/src/relay/exchange_silence.cc
@@ -34,6 +34,9 @@
 /// engines: they read some thousand tokens, at a hundred a millisecond and
 /// slowed by other work. With the gap before it, callers still wait.
 constexpr Duration kMoveBound = milliseconds(700);
+/// Orders for one move. An engine of the new chain may be full or gone, which
+/// the first engine says within milliseconds.
+constexpr int kMostMoveOrders = 4;
 
 Duration Times(Duration duration, double factor) {
   return std::chrono::duration_cast<Duration>(duration * factor);
@@ -111,15 +114,21 @@
   if (!this->chain || this->relay.engines == nullptr || moved_since) {
     return false;
   }
-  const ChainStage first = this->chain->stages.front();
-  ChoiceQuery query = this->MakeQuery();
-  std::vector<std::string> avoided = this->excluded;
+  this->move_orders = 0;
+  this->move_avoided = this->excluded;
+  const ServerPtr first = this->chain->stages.front().server;
   for (const auto& server : this->SuspectChain(this->QuietSince())) {
-    if (server != first.server) {
-      avoided.push_back(server->record.id);
+    if (server != first) {
+      this->move_avoided.push_back(server->record.id);
     }
   }
-  query.excluded = avoided;
+  return this->OrderNextMove();
+}
+
+bool Exchange::OrderNextMove() {
+  const ChainStage first = this->chain->stages.front();
+  ChoiceQuery query = this->MakeQuery();
+  query.excluded = this->move_avoided;
   query.first_stage = &first;
   auto next = ChooseChain(*this->service->engine,
                           this->relay.servers.Of(this->service->name), query,
@@ -127,15 +136,20 @@
   if (!next || next->stages.front().server != first.server) {
     return false;
   }
+  ++this->move_orders;
   this->moved_at = this->relay.Now();
   this->StartProgressTimer(*this->moved_at + kMoveBound);
-  asio::co_spawn(this->relay.io,
-                 OrderMove(this->relay, this, std::move(*next), this->alive),
-                 asio::detached);
+  auto next_load =
+      std::make_unique<ChainLoad>(std::move(*next), this->Tokens());
+  asio::co_spawn(
+      this->relay.io,
+      OrderMove(this->relay, this, std::move(next_load), this->alive),
+      asio::detached);
   return true;
 }
 
-Task<void> Exchange::OrderMove(Relay& shared, Exchange* exchange, Chain next,
+Task<void> Exchange::OrderMove(Relay& shared, Exchange* exchange,
+                               std::unique_ptr<ChainLoad> next,
                                std::weak_ptr<int> owner) {
   // The exchange may be gone already, and may go during the wait.
   if (owner.expired()) {
@@ -143,15 +157,18 @@
   }
   const int moved_try = exchange->tries;
   const std::string id = exchange->facts.attempt_id;
-  const std::string text = ChainText(next);
-  const auto outcome = co_await shared.engines->MoveStream(id, next);
-  const bool taken = outcome && outcome.value() == OrderOutcome::kAccepted;
+  const std::string text = ChainText(next->chain());
+  const auto answer = co_await shared.engines->MoveStream(id, next->chain());
+  const bool taken =
+      answer && answer.value().outcome == OrderOutcome::kAccepted;
+  const std::string refuser = answer ? answer.value().refuser : "";
   shared.events.Record(EventId::kRelayStreamMoved,
                        {{"request", id},
                         {"chain", text},
-                        {"outcome", taken     ? "taken"
-                                    : outcome ? "refused"
-                                              : ToString(outcome.error())}});
+                        {"outcome", taken    ? "taken"
+                                    : answer ? "refused"
+                                             : ToString(answer.error())},
+                        {"refuser", refuser}});
   if (owner.expired() || exchange->call == nullptr ||
       exchange->tries != moved_try) {
     co_return;
@@ -159,21 +176,30 @@
   if (taken) {
     exchange->TakeMove(std::move(next));
   } else {
-    exchange->FailMove();
+    next.reset();
+    exchange->FailMove(refuser);
   }
 }
 
-void Exchange::TakeMove(Chain next) {
-  this->RemoveLoad();
-  this->chain = std::move(next);
-  this->AddLoad();
+void Exchange::TakeMove(std::unique_ptr<ChainLoad> next) {
+  this->chain = next->chain();
+  this->load = std::move(next);
 }
 
-void Exchange::FailMove() {
-  // If events have come meanwhile, the stream goes on by itself.
-  if (*this->moved_at >= this->last_event_at) {
-    this->ReplaceSilentTry();
+void Exchange::FailMove(std::string_view refuser) {
+  if (*this->moved_at < this->last_event_at) {
+    return;  // Events have come meanwhile: the stream goes on by itself.
+  }
+  const ServerPtr full = this->relay.servers.FindByAddress(refuser);
+  if (full != nullptr && full != this->server &&
+      this->move_orders < kMostMoveOrders) {
+    full->NoteRefusal(this->relay.Now(), *this->moved_at);
+    this->move_avoided.push_back(full->record.id);
+    if (this->OrderNextMove()) {
+      return;
+    }
   }
+  this->ReplaceSilentTry();
 }
 
 void Exchange::ReplaceSilentTry() {
--- a/packages/relay/tests/relay/layer_keeper_test.cc
+++ b/packages/relay/tests/relay/layer_keeper_test.cc
@@ -45,8 +45,8 @@
     co_return state;
   }
 
-  Task<Result<OrderOutcome>> MoveStream(std::string, Chain) override {
-    co_return OrderOutcome::kRefused;
+  Task<Result<MoveAnswer>> MoveStream(std::string, Chain) override {
+    co_return MoveAnswer{};
   }
 
   std::function<void()> on_order;
--- a/packages/relay/tests/relay/stream_move_test.cc
+++ b/packages/relay/tests/relay/stream_move_test.cc
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
+#include <set>
 
+#include "foundation/wait.h"
 #include "relay/relay_harness.h"
 
 namespace qp::relay::testing {
@@ -17,15 +19,28 @@
   Task<Result<EngineState>> Ask(ServerRecord engine) override {
     co_return Error{ErrorCode::kUnavailable, "ask", engine.id, ""};
   }
-  Task<Result<OrderOutcome>> MoveStream(std::string attempt_id,
-                                        Chain chain) override {
+  Task<Result<MoveAnswer>> MoveStream(std::string attempt_id,
+                                      Chain chain) override {
     this->moved.push_back(std::move(attempt_id));
-    this->chains.push_back(std::move(chain));
-    co_return this->outcome;
+    this->chains.push_back(chain);
+    if (this->clock != nullptr) {
+      co_await SleepFor(*this->clock, milliseconds(100));
+    }
+    MoveAnswer answer;
+    answer.outcome = this->outcome;
+    for (const auto& stage : chain.stages) {
+      if (this->full.contains(stage.server->record.id)) {
+        answer.outcome = OrderOutcome::kConflict;
+        answer.refuser = stage.server->record.address;
+      }
+    }
+    co_return answer;
   }
 
   std::vector<std::string> moved;
   std::vector<Chain> chains;
+  Clock* clock = nullptr;      ///< Answers after 100 ms if set.
+  std::set<std::string> full;  ///< Engines without room for a moved stream.
   OrderOutcome outcome = OrderOutcome::kAccepted;
 };
 
@@ -201,4 +216,80 @@
   CHECK(world.engines.moved.empty());
 }
 
+// All streams of a lost engine were ordered to the same one, which had room for
+// a few; the others were cancelled and used up the retry budget.
+TEST_CASE("A move that a full engine refuses is ordered over another one",
+          "[relay][exchange][streams][move]") {
+  World world;
+  const std::string used = world.InFlight("rest") == 1 ? "rest" : "spare";
+  const std::string other = used == "rest" ? "spare" : "rest";
+  world.engines.full = {other};
+  SECTION("if there is one") {
+    world.harness.AddEngine("third", {40, 80});
+    // The other one is the better choice.
+    world.harness.relay.servers.Find("third")->in_flight = 3;
+    world.harness.runtime.Advance(milliseconds(400));
+    REQUIRE(world.harness.Until([&] { return world.InFlight("third") == 4; }));
+    REQUIRE(world.engines.moved.size() == 2);
+    CHECK(world.engines.chains[0].stages[1].server->record.id == other);
+    CHECK(world.engines.chains[1].stages[1].server->record.id == "third");
+    world.first->last().channel->Write(Event(2, "b"));
+    CHECK(world.harness.Receives(*world.caller, "data: b"));
+    CHECK(world.first->requests() == 1);
+  }
+  SECTION("and if there is none the stream is resumed") {
+    world.harness.runtime.Advance(milliseconds(400));
+    CHECK(world.harness.Gets(*world.first, 2));
+    CHECK(world.engines.moved.size() == 1);
+  }
+  // No other request is sent there at once, and nothing is counted there.
+  CHECK(world.harness.relay.servers.Find(other)->IsRefusing(
+      world.harness.relay.Now()));
+}
+
+TEST_CASE("Moves that are refused again and again end",
+          "[relay][exchange][streams][move]") {
+  World world;
+  for (int number = 0; number < 9; ++number) {
+    const std::string id = "e" + std::to_string(number);
+    world.harness.AddEngine(id, {40, 80});
+    world.engines.full.insert(id);
+  }
+  world.engines.full.insert({"rest", "spare"});
+  world.harness.runtime.Advance(milliseconds(400));
+  CHECK(world.harness.Gets(*world.first, 2));
+  CHECK(world.engines.moved.size() == 4);
+}
+
+// Streams that fell silent together all chose the same engine, as nothing was
+// counted there before its first answer.
+TEST_CASE("The load of a moved stream counts from the order on",
+          "[relay][exchange][streams][move]") {
+  World world;
+  const std::string used = world.InFlight("rest") == 1 ? "rest" : "spare";
+  const std::string other = used == "rest" ? "spare" : "rest";
+  world.engines.clock = &world.harness.runtime.clock();
+  const bool taken = GENERATE(true, false);
+  world.engines.outcome =
+      taken ? OrderOutcome::kAccepted : OrderOutcome::kRefused;
+  world.harness.runtime.Advance(milliseconds(350));
+  REQUIRE(world.engines.moved.size() == 1);
+  CHECK(world.InFlight(used) == 1);
+  CHECK(world.InFlight(other) == 1);
+  CHECK(world.InFlight("first") == 2);
+  SECTION("until it is answered") {
+    world.harness.runtime.Advance(milliseconds(100));
+    REQUIRE(world.harness.Until([&] { return world.InFlight("first") == 1; }));
+    CHECK(world.InFlight(used) + world.InFlight(other) == 1);
+    CHECK((world.first->requests() == 1) == taken);
+  }
+  SECTION("until the caller leaves") {
+    world.caller->channel->Close();
+    world.harness.runtime.Advance(milliseconds(200));
+    CHECK(world.InFlight("first") == 0);
+    CHECK(world.InFlight(used) == 0);
+    CHECK(world.InFlight(other) == 0);
+  }
+}
+
 }  // namespace qp::relay::testing
