Ask the first engine of a silent stream which engine is lost

Cause: nothing comes through any engine of a silent chain, so all behind the first were given up and doubted.

Change: StallInquiry asks the first engine once for all of its silent streams. RepairChain puts others in place of the engine named; the others keep their part and their memory. A refusal that names another engine of the chain replaces that too. A paused engine is not asked. A fixed first stage needs no more room.

--- a/packages/relay/src/relay/deployment_store.h
+++ b/packages/relay/src/relay/deployment_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -65,6 +66,9 @@
   std::string refuser;
 };
 
+/// Address of the engine that a request waits for, by the request's id.
+using StalledRequests = std::map<std::string, std::string, std::less<>>;
+
 /// What an engine says of itself.
 struct EngineState {
   std::int64_t incarnation = 0;
@@ -94,6 +98,9 @@
                                           LayerRange layers,
                                           std::uint64_t order_count) = 0;
   virtual Task<Result<EngineState>> Ask(ServerRecord engine) = 0;
+  /// Asks the first engine of chains which of its requests wait for another
+  /// engine. kTimeout or kUnknownEffect if it does not answer at once.
+  virtual Task<Result<StalledRequests>> FindStalled(ServerRecord engine) = 0;
   /// Orders the first engine of `chain` to run a stream that it has begun over
   /// the engines of `chain` from now on. Engines that had a part in it and keep
   /// it go on with their memory, the others read all tokens so far.
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -188,6 +188,7 @@
   this->last_event_at = this->try_began;
   this->try_has_events = false;
   this->moved_at.reset();
+  this->move_lost.clear();
   this->head.reset();
   this->body.clear();
   this->splitter.Reset();
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -112,6 +112,15 @@
   /// is no further arrival, so it needs no retry budget. False if there is no
   /// such chain or the stream was moved in this silence already.
   bool TryMove();
+  /// Goes on once the first engine has said what it waits for.
+  void BeginMove(const Result<StalledRequests>& stalled);
+  /// The engine that the first one waits for; null if that is not known.
+  ServerPtr FindLost(const StalledRequests& stalled) const;
+  void NoteLost(const ServerPtr& lost);
+  /// The chain with other engines in place of all that are known to be lost.
+  std::optional<Chain> RepairLost(const ChoiceQuery& query);
+  /// The chain to move to, by what is known of the silence.
+  std::optional<Chain> ChooseMove();
   /// Orders a move to a chain without `move_avoided`; false if there is none.
   bool OrderNextMove();
   /// Outlives the exchange, which it touches only while `owner` lives. The load
@@ -121,9 +130,9 @@
                               std::unique_ptr<ChainLoad> next,
                               std::weak_ptr<int> owner);
   void TakeMove(std::unique_ptr<ChainLoad> next);
-  /// The order was refused, because of the engine at `refuser` unless that is
-  /// empty, or was not answered.
-  void FailMove(std::string_view refuser);
+  /// The order was refused or not answered. An engine of `next` that is new to
+  /// the chain may be gone or have no room.
+  void FailMove(const Chain& next, const Result<MoveAnswer>& answer);
   /// Cancels the silent try and goes on with another. Without another server
   /// or the budget to ask it the try goes on: its server may only be slow.
   void ReplaceSilentTry();
@@ -190,6 +199,7 @@
   std::optional<TimePoint> passed_event_at;  ///< Last one, of any try.
   /// When the stream was last moved to other engines; empty: not in this try.
   std::optional<TimePoint> moved_at;
+  std::vector<ServerPtr> move_lost;       ///< Engines known to be lost.
   int move_orders = 0;                    ///< Of the move under way.
   std::vector<std::string> move_avoided;  ///< Engines that it must not use.
   /// Lets an order that is under way see that the exchange is gone.
--- a/packages/relay/src/relay/exchange_silence.cc
+++ b/packages/relay/src/relay/exchange_silence.cc
@@ -30,13 +30,6 @@
 /// A timer that is so late shows that this process was held up: what its
 /// servers have sent meanwhile is still to be read.
 constexpr Duration kHeldUp = milliseconds(50);
-/// Longest wait for the next event of a stream that was to go on over other
-/// engines: they read some thousand tokens, at a hundred a millisecond and
-/// slowed by other work. With the gap before it, callers still wait.
-constexpr Duration kMoveBound = milliseconds(700);
-/// Orders for one move. An engine of the new chain may be full or gone, which
-/// the first engine says within milliseconds.
-constexpr int kMostMoveOrders = 4;
 
 Duration Times(Duration duration, double factor) {
   return std::chrono::duration_cast<Duration>(duration * factor);
@@ -108,100 +101,6 @@
   return this->last_event_at + Times(silent, kOthersLater);
 }
 
-bool Exchange::TryMove() {
-  const bool moved_since =
-      this->moved_at && *this->moved_at >= this->last_event_at;
-  if (!this->chain || this->relay.engines == nullptr || moved_since) {
-    return false;
-  }
-  this->move_orders = 0;
-  this->move_avoided = this->excluded;
-  const ServerPtr first = this->chain->stages.front().server;
-  for (const auto& server : this->SuspectChain(this->QuietSince())) {
-    if (server != first) {
-      this->move_avoided.push_back(server->record.id);
-    }
-  }
-  return this->OrderNextMove();
-}
-
-bool Exchange::OrderNextMove() {
-  const ChainStage first = this->chain->stages.front();
-  ChoiceQuery query = this->MakeQuery();
-  query.excluded = this->move_avoided;
-  query.first_stage = &first;
-  auto next = ChooseChain(*this->service->engine,
-                          this->relay.servers.Of(this->service->name), query,
-                          this->relay.Now(), this->relay.random);
-  if (!next || next->stages.front().server != first.server) {
-    return false;
-  }
-  ++this->move_orders;
-  this->moved_at = this->relay.Now();
-  this->StartProgressTimer(*this->moved_at + kMoveBound);
-  auto next_load =
-      std::make_unique<ChainLoad>(std::move(*next), this->Tokens());
-  asio::co_spawn(
-      this->relay.io,
-      OrderMove(this->relay, this, std::move(next_load), this->alive),
-      asio::detached);
-  return true;
-}
-
-Task<void> Exchange::OrderMove(Relay& shared, Exchange* exchange,
-                               std::unique_ptr<ChainLoad> next,
-                               std::weak_ptr<int> owner) {
-  // The exchange may be gone already, and may go during the wait.
-  if (owner.expired()) {
-    co_return;
-  }
-  const int moved_try = exchange->tries;
-  const std::string id = exchange->facts.attempt_id;
-  const std::string text = ChainText(next->chain());
-  const auto answer = co_await shared.engines->MoveStream(id, next->chain());
-  const bool taken =
-      answer && answer.value().outcome == OrderOutcome::kAccepted;
-  const std::string refuser = answer ? answer.value().refuser : "";
-  shared.events.Record(EventId::kRelayStreamMoved,
-                       {{"request", id},
-                        {"chain", text},
-                        {"outcome", taken    ? "taken"
-                                    : answer ? "refused"
-                                             : ToString(answer.error())},
-                        {"refuser", refuser}});
-  if (owner.expired() || exchange->call == nullptr ||
-      exchange->tries != moved_try) {
-    co_return;
-  }
-  if (taken) {
-    exchange->TakeMove(std::move(next));
-  } else {
-    next.reset();
-    exchange->FailMove(refuser);
-  }
-}
-
-void Exchange::TakeMove(std::unique_ptr<ChainLoad> next) {
-  this->chain = next->chain();
-  this->load = std::move(next);
-}
-
-void Exchange::FailMove(std::string_view refuser) {
-  if (*this->moved_at < this->last_event_at) {
-    return;  // Events have come meanwhile: the stream goes on by itself.
-  }
-  const ServerPtr full = this->relay.servers.FindByAddress(refuser);
-  if (full != nullptr && full != this->server &&
-      this->move_orders < kMostMoveOrders) {
-    full->NoteRefusal(this->relay.Now(), *this->moved_at);
-    this->move_avoided.push_back(full->record.id);
-    if (this->OrderNextMove()) {
-      return;
-    }
-  }
-  this->ReplaceSilentTry();
-}
-
 void Exchange::ReplaceSilentTry() {
   if (!this->MayRepeat() || this->tries_run + 1 >= this->route->max_attempts ||
       this->tries >= kMaxTries) {
@@ -219,7 +118,7 @@
        {"chain", ChainText(this->chain)},
        {"step", step},
        {"silent_ms", MillisText(this->relay.Now() - this->last_event_at)}});
-  if (this->chain) {
+  if (this->chain && this->move_lost.empty()) {
     this->SuspectChain(this->QuietSince());
   }
   std::vector<std::string> avoided = this->excluded;
--- a/packages/relay/src/relay/relay.h
+++ b/packages/relay/src/relay/relay.h
@@ -16,6 +16,7 @@
 #include "relay/retry_allowance.h"
 #include "relay/route_table.h"
 #include "relay/server_directory.h"
+#include "relay/stall_inquiry.h"
 #include "relay/timer_queue.h"
 #include "relay/upstream_pool.h"
 
@@ -42,7 +43,8 @@
         availability_zone(std::move(zone)),
         pool(timers),
         allowance(retry_bound, timers.Now()),
-        random(seed) {}
+        random(seed),
+        stalls(context) {}
 
   TimePoint Now() const { return this->timers.Now(); }
 
@@ -63,6 +65,7 @@
   bool draining = false;
   AnswerLimits answer_limits;
   EngineControl* engines = nullptr;  ///< Null where there are no engines.
+  StallInquiry stalls;
 };
 
 }  // namespace qp::relay
--- a/packages/relay/src/relay/server_choice.cc
+++ b/packages/relay/src/relay/server_choice.cc
@@ -58,18 +58,22 @@
  public:
   ChainSearch(const EngineProfile& model, const ChoiceQuery& asked,
               std::mt19937_64& source)
-      : profile(model), query(asked), random(source) {}
+      : profile(model),
+        query(asked),
+        random(source),
+        end_layer(asked.end_layer > 0 ? asked.end_layer : model.layers) {}
 
   void Add(const ServerPtr& server) {
     const auto kind =
         this->profile.accelerators.find(server->record.accelerator);
     const LayerRange layers = this->AllowedLayers(*server);
     if (kind == this->profile.accelerators.end() || layers.empty() ||
-        layers.end > this->profile.layers) {
+        server->record.layers.end > this->profile.layers) {
       return;
     }
     const double taken = this->MemoryTaken(*server, kind->second);
-    if (taken > kMemoryUse) {
+    // What is fixed has its memory already.
+    if (taken > kMemoryUse && !this->IsFixed(*server)) {
       return;
     }
     const double streams = server->in_flight + server->peer_streams +
@@ -104,14 +108,19 @@
   LayerRange AllowedLayers(const Server& server) const {
     const ChainStage* fixed = this->query.first_stage;
     const LayerRange held = server.record.layers;
-    if (fixed == nullptr) {
-      return held;
-    }
-    if (fixed->server.get() == &server) {
+    if (this->IsFixed(server)) {
       return fixed->layers;
     }
-    return {std::max(held.first, fixed->layers.end),
-            std::max(held.end, fixed->layers.end)};
+    const std::uint32_t begin = fixed != nullptr ? fixed->layers.end : 0;
+    const auto clip = [this, begin](std::uint32_t layer) {
+      return std::clamp(layer, begin, this->end_layer);
+    };
+    return {clip(held.first), clip(held.end)};
+  }
+
+  bool IsFixed(const Server& server) const {
+    const ChainStage* fixed = this->query.first_stage;
+    return fixed != nullptr && fixed->server.get() == &server;
   }
 
   /// Part of the engine's memory for requests that would be taken.
@@ -170,7 +179,7 @@
     for (std::size_t index = 0; index < this->candidates.size(); ++index) {
       const Candidate& last = this->candidates[index];
       const bool complete =
-          last.layers.end == this->profile.layers &&
+          last.layers.end == this->end_layer &&
           last.chain_ms < std::numeric_limits<double>::infinity();
       if (complete &&
           (best < 0 || last.chain_ms < this->candidates[best].chain_ms)) {
@@ -182,7 +191,7 @@
     }
     Chain chain;
     chain.step_ms = this->candidates[best].chain_ms;
-    std::uint32_t end = this->profile.layers;
+    std::uint32_t end = this->end_layer;
     for (int index = best; index >= 0;
          index = this->candidates[index].previous) {
       const Candidate& stage = this->candidates[index];
@@ -196,6 +205,7 @@
   const EngineProfile& profile;
   const ChoiceQuery& query;
   std::mt19937_64& random;
+  std::uint32_t end_layer;
   std::vector<Candidate> candidates;
 };
 
--- a/packages/relay/src/relay/server_choice.h
+++ b/packages/relay/src/relay/server_choice.h
@@ -37,6 +37,8 @@
   bool other_zones_known = true;
   /// First stage of the chain, where that is fixed; null if it may be any.
   const ChainStage* first_stage = nullptr;
+  /// End of the layers that are asked for; 0 for all of the model.
+  std::uint32_t end_layer = 0;
 };
 
 /// Tokens for which a request takes memory: its prompt all the time, its output
--- /dev/null
+++ b/packages/relay/tests/relay/chain_repair_test.cc
@@ -0,0 +1,158 @@
+#include "relay/chain_repair.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "relay/configurations.h"
+
+namespace qp::relay::testing {
+
+namespace {
+
+const TimePoint kNow{std::chrono::hours(1)};
+
+ChoiceQuery Query() {
+  ChoiceQuery query;
+  query.availability_zone = "a";
+  query.prompt_tokens = 800;
+  query.output_tokens = 200;
+  return query;
+}
+
+std::optional<Chain> Repair(const std::vector<ServerPtr>& engines,
+                            const Chain& chain, const ServerPtr& lost,
+                            const EngineProfile& profile = MakeRoomyProfile()) {
+  std::mt19937_64 random(7);
+  return RepairChain(profile, engines, Query(), chain, *lost, kNow, random);
+}
+
+bool Has(const Chain& chain, const ServerPtr& server) {
+  return std::any_of(
+      chain.stages.begin(), chain.stages.end(),
+      [&server](const ChainStage& stage) { return stage.server == server; });
+}
+
+/// A chain over three engines.
+struct ThreeStages {
+  ServerPtr first = MakeEngine("first", "large", {0, 20});
+  ServerPtr middle = MakeEngine("middle", "large", {20, 40});
+  ServerPtr last = MakeEngine("last", "large", {40, 80});
+  Chain chain{{{first, {0, 20}}, {middle, {20, 40}}, {last, {40, 80}}}, 1.0};
+  std::vector<ServerPtr> engines{first, middle, last};
+};
+
+}  // namespace
+
+// A move gave up all engines behind the first one, and the new ones had to read
+// all tokens for all of their layers.
+TEST_CASE("Only the lost engine's layers go to others", "[relay][chains]") {
+  ThreeStages run;
+  const auto spare = MakeEngine("spare", "small", {10, 60});
+  const auto better = MakeEngine("better", "large", {0, 80});
+  better->in_flight = 2;
+  run.engines.insert(run.engines.end(), {spare, better});
+  SECTION("in the middle") {
+    const auto repaired = Repair(run.engines, run.chain, run.middle);
+    REQUIRE(repaired);
+    REQUIRE(repaired->stages.size() == 3);
+    CHECK(repaired->stages[0].server == run.first);
+    CHECK(repaired->stages[1].server == better);
+    CHECK(repaired->stages[1].layers == LayerRange{20, 40});
+    CHECK(repaired->stages[2].server == run.last);
+    CHECK(repaired->stages[2].layers == LayerRange{40, 80});
+  }
+  SECTION("at the end") {
+    const auto repaired = Repair(run.engines, run.chain, run.last);
+    REQUIRE(repaired);
+    REQUIRE(repaired->stages.size() == 3);
+    CHECK(repaired->stages[1].server == run.middle);
+    CHECK(repaired->stages[2].server == better);
+    CHECK(repaired->stages[2].layers == LayerRange{40, 80});
+  }
+  SECTION("but not those of the first, which holds the stream") {
+    CHECK_FALSE(Repair(run.engines, run.chain, run.first));
+  }
+  SECTION("and nothing is done for an engine without a part") {
+    CHECK_FALSE(Repair(run.engines, run.chain, spare));
+  }
+}
+
+TEST_CASE("Engines that keep their part need no more room", "[relay][chains]") {
+  ThreeStages run;
+  const auto spare = MakeEngine("spare", "large", {20, 40});
+  run.engines.push_back(spare);
+  run.first->kv_token_layers = 1e9;
+  run.last->kv_token_layers = 1e9;
+  CHECK(Repair(run.engines, run.chain, run.middle, MakeProfile()));
+  SECTION("but the new one does") {
+    spare->kv_token_layers = 1e9;
+    CHECK_FALSE(Repair(run.engines, run.chain, run.middle, MakeProfile()));
+  }
+}
+
+TEST_CASE("Several engines may share the lost one's layers",
+          "[relay][chains]") {
+  ThreeStages run;
+  run.engines.push_back(MakeEngine("one", "small", {20, 30}, "b"));
+  run.engines.push_back(MakeEngine("two", "small", {25, 40}, "b"));
+  const auto repaired = Repair(run.engines, run.chain, run.middle);
+  REQUIRE(repaired);
+  REQUIRE(repaired->stages.size() == 4);
+  CHECK(repaired->stages[1].server->record.id == "one");
+  CHECK(repaired->stages[2].server->record.id == "two");
+}
+
+TEST_CASE("A repaired chain is whole and keeps all other parts",
+          "[relay][chains]") {
+  rc::check("for any engines", [] {
+    std::vector<ServerPtr> engines;
+    const int count = *rc::gen::inRange(2, 24);
+    for (int index = 0; index < count; ++index) {
+      const auto begin = *rc::gen::inRange(0u, 8u) * 10;
+      const auto end = *rc::gen::inRange(begin / 10 + 1, 9u) * 10;
+      const char* kind = *rc::gen::element("large", "middle", "small");
+      const char* zone = *rc::gen::element("a", "b");
+      engines.push_back(
+          MakeEngine("e" + std::to_string(index), kind, {begin, end}, zone));
+      engines.back()->in_flight = *rc::gen::inRange(0u, 60u);
+    }
+    std::mt19937_64 random(7);
+    const auto chain =
+        ChooseChain(MakeRoomyProfile(), engines, Query(), kNow, random);
+    if (!chain) {
+      return;
+    }
+    const auto position =
+        *rc::gen::inRange<std::size_t>(0, chain->stages.size());
+    const ServerPtr lost = chain->stages[position].server;
+    const auto repaired = Repair(engines, *chain, lost);
+    if (!repaired) {
+      return;
+    }
+    RC_ASSERT(!Has(*repaired, lost));
+    std::uint32_t next = 0;
+    std::set<std::string> seen;
+    for (const auto& stage : repaired->stages) {
+      const LayerRange held = stage.server->record.layers;
+      RC_ASSERT(stage.layers.first == next);
+      RC_ASSERT(!stage.layers.empty());
+      RC_ASSERT(held.first <= stage.layers.first);
+      RC_ASSERT(stage.layers.end <= held.end);
+      RC_ASSERT(seen.insert(stage.server->record.id).second);
+      next = stage.layers.end;
+    }
+    RC_ASSERT(next == MakeProfile().layers);
+    for (const auto& stage : chain->stages) {
+      const bool kept = std::any_of(
+          repaired->stages.begin(), repaired->stages.end(),
+          [&stage](const ChainStage& other) {
+            return other.server == stage.server && other.layers == stage.layers;
+          });
+      RC_ASSERT(kept == (stage.server != lost));
+    }
+  });
+}
+
+}  // namespace qp::relay::testing
--- a/packages/relay/tests/relay/layer_keeper_test.cc
+++ b/packages/relay/tests/relay/layer_keeper_test.cc
@@ -45,6 +45,9 @@
     co_return state;
   }
 
+  Task<Result<StalledRequests>> FindStalled(ServerRecord) override {
+    co_return StalledRequests();
+  }
   Task<Result<MoveAnswer>> MoveStream(std::string, Chain) override {
     co_return MoveAnswer{};
   }
--- a/packages/relay/tests/relay/stream_move_test.cc
+++ b/packages/relay/tests/relay/stream_move_test.cc
@@ -19,6 +19,13 @@
   Task<Result<EngineState>> Ask(ServerRecord engine) override {
     co_return Error{ErrorCode::kUnavailable, "ask", engine.id, ""};
   }
+  Task<Result<StalledRequests>> FindStalled(ServerRecord engine) override {
+    this->asked.push_back(engine.id);
+    if (this->mute) {
+      co_return Error{ErrorCode::kUnknownEffect, "ask", engine.id, ""};
+    }
+    co_return this->stalled;
+  }
   Task<Result<MoveAnswer>> MoveStream(std::string attempt_id,
                                       Chain chain) override {
     this->moved.push_back(std::move(attempt_id));
@@ -39,6 +46,9 @@
 
   std::vector<std::string> moved;
   std::vector<Chain> chains;
+  std::vector<std::string> asked;
+  StalledRequests stalled;
+  bool mute = false;
   Clock* clock = nullptr;      ///< Answers after 100 ms if set.
   std::set<std::string> full;  ///< Engines without room for a moved stream.
   OrderOutcome outcome = OrderOutcome::kAccepted;
@@ -292,4 +302,106 @@
   }
 }
 
+TEST_CASE("A first engine that does not answer is lost itself",
+          "[relay][exchange][streams][move]") {
+  World world;
+  auto& another = world.harness.AddEngine("another", {0, 40});
+  world.engines.mute = true;
+  world.harness.runtime.Advance(milliseconds(400));
+  CHECK(world.harness.Gets(another, 1));
+  CHECK(another.last().received.find("Last: 1") != std::string::npos);
+  CHECK(world.engines.moved.empty());
+  const TimePoint now = world.harness.relay.Now();
+  CHECK(world.harness.relay.servers.Find("first")->IsSuspect(now));
+  for (const char* behind : {"rest", "spare"}) {
+    CHECK_FALSE(world.harness.relay.servers.Find(behind)->IsSuspect(now));
+  }
+}
+
+namespace {
+
+/// A stream over "first", "second" and "third", which has sent one event; there
+/// is one more engine for the layers of each of the last two.
+struct LongChain {
+  LongChain() {
+    Route route = MakeRoute("/s/", Repeat::kResume, "model");
+    route.streaming = true;
+    route.timeout = std::chrono::seconds(20);
+    harness.Configure({route});
+    harness.relay.engines = &engines;
+    first = &harness.AddEngine("first", {0, 40});
+    harness.AddEngine("second", {40, 60});
+    harness.AddEngine("third", {60, 80});
+    caller = &harness.Call(RelayHarness::Request("/s/x"));
+    REQUIRE(harness.Gets(*first, 1));
+    first->last().channel->Write(
+        "HTTP/1.1 200 OK\r\nAttempt: a1\r\nSignature: s\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n" +
+        Event(1, "a"));
+    REQUIRE(harness.Receives(*caller, "data: a"));
+    harness.AddEngine("spare", {40, 60});
+    harness.AddEngine("last", {60, 80});
+  }
+
+  std::vector<std::string> Ordered(std::size_t number) const {
+    std::vector<std::string> ids;
+    for (const auto& stage : engines.chains.at(number).stages) {
+      ids.push_back(stage.server->record.id);
+    }
+    return ids;
+  }
+  bool IsSuspect(const std::string& id) {
+    return harness.relay.servers.Find(id)->IsSuspect(harness.relay.Now());
+  }
+
+  RelayHarness harness;
+  MovingEngines engines;
+  ScriptedServer* first = nullptr;
+  Peer* caller = nullptr;
+};
+
+}  // namespace
+
+// Nothing came through any engine of the chain, so all of them were given up.
+TEST_CASE("Only the engine that the first one waits for is replaced",
+          "[relay][exchange][streams][move]") {
+  LongChain world;
+  world.engines.stalled["a1"] =
+      world.harness.relay.servers.Find("third")->record.address;
+  world.harness.runtime.Advance(milliseconds(700));
+  REQUIRE(world.engines.moved.size() == 1);
+  CHECK(world.engines.asked == std::vector<std::string>{"first"});
+  CHECK(world.Ordered(0) ==
+        std::vector<std::string>{"first", "second", "last"});
+  CHECK(world.IsSuspect("third"));
+  CHECK_FALSE(world.IsSuspect("second"));
+  CHECK_FALSE(world.IsSuspect("first"));
+}
+
+// Two engines of a chain died at once: the first names one, the refusal of the
+// move the other.
+TEST_CASE("A refusal that names another engine of the chain replaces both",
+          "[relay][exchange][streams][move]") {
+  LongChain world;
+  world.engines.stalled["a1"] =
+      world.harness.relay.servers.Find("second")->record.address;
+  world.engines.full = {"third"};
+  world.harness.runtime.Advance(milliseconds(700));
+  REQUIRE(world.engines.moved.size() == 2);
+  CHECK(world.Ordered(0) ==
+        std::vector<std::string>{"first", "spare", "third"});
+  CHECK(world.Ordered(1) == std::vector<std::string>{"first", "spare", "last"});
+  CHECK(world.first->requests() == 1);
+}
+
+TEST_CASE("A first engine that has asked for a pause is not asked",
+          "[relay][exchange][streams][move]") {
+  World world;
+  world.harness.relay.servers.Find("first")->NotePause(
+      world.harness.relay.Now(), std::chrono::seconds(5));
+  world.harness.runtime.Advance(milliseconds(400));
+  REQUIRE(world.harness.Until([&] { return !world.engines.moved.empty(); }));
+  CHECK(world.engines.asked.empty());
+}
+
 }  // namespace qp::relay::testing
