Log why a first engine did not say what it waits for

Cause: a question to a first engine that failed left no line; the engine was doubted without the reason.

Change: a 7002 line with the step stream.inquiry and the error.

--- a/packages/relay/src/relay/exchange_move.cc
+++ b/packages/relay/src/relay/exchange_move.cc
@@ -75,6 +75,13 @@
   this->move_orders = 0;
   this->move_avoided = this->excluded;
   this->move_lost.clear();
+  if (!stalled) {
+    this->relay.events.Record(EventId::kRelayAttemptFailed,
+                              {{"request", this->facts.attempt_id},
+                               {"peer", this->server->record.id},
+                               {"step", "stream.inquiry"},
+                               {"detail", ToString(stalled.error())}});
+  }
   if (!stalled && IsNoAnswer(stalled.error())) {
     this->NoteLost(this->server);
     this->ReplaceSilentTry();
