Name the refuser of a move in the catalogue of events

Cause: the field was described on the page of events only, which is made from the catalogue.

Change: the catalogue says the same as the page. The test that failed passes.

--- a/packages/foundation/src/foundation/event.cc
+++ b/packages/foundation/src/foundation/event.cc
@@ -135,7 +135,9 @@
     EventInfo{EventId::kRelayStreamMoved, "relay_stream_moved",
               Severity::kWarning,
               "A running stream that fell silent was to go on over other "
-              "engines; the outcome says whether its first engine took it."},
+              "engines; the outcome says whether its first engine took it, "
+              "`refuser` which engine of the chain was gone or had no room, if "
+              "the answer names one."},
     EventInfo{EventId::kServerLeaving, "server_leaving", Severity::kInfo,
               "A backend server said in an answer that it is about to stop and "
               "gets no more requests."},
