Set up moved streams and choices in tests once

Cause: two fixtures of stream_move_test and the query of two test files said the same.

Change: one base of the fixtures, one MakeQuery; no check changes (152 cases, 1,529 assertions before and after).

--- a/packages/relay/tests/relay/chain_repair_test.cc
+++ b/packages/relay/tests/relay/chain_repair_test.cc
@@ -13,19 +13,11 @@
 
 const TimePoint kNow{std::chrono::hours(1)};
 
-ChoiceQuery Query() {
-  ChoiceQuery query;
-  query.availability_zone = "a";
-  query.prompt_tokens = 800;
-  query.output_tokens = 200;
-  return query;
-}
-
 std::optional<Chain> Repair(const std::vector<ServerPtr>& engines,
                             const Chain& chain, const ServerPtr& lost,
                             const EngineProfile& profile = MakeRoomyProfile()) {
   std::mt19937_64 random(7);
-  return RepairChain(profile, engines, Query(), chain, *lost, kNow, random);
+  return RepairChain(profile, engines, MakeQuery(), chain, *lost, kNow, random);
 }
 
 bool Has(const Chain& chain, const ServerPtr& server) {
@@ -120,7 +112,7 @@
     }
     std::mt19937_64 random(7);
     const auto chain =
-        ChooseChain(MakeRoomyProfile(), engines, Query(), kNow, random);
+        ChooseChain(MakeRoomyProfile(), engines, MakeQuery(), kNow, random);
     if (!chain) {
       return;
     }
--- a/packages/relay/tests/relay/configurations.h
+++ b/packages/relay/tests/relay/configurations.h
@@ -5,6 +5,7 @@
 
 #include "relay/deployment.h"
 #include "relay/server.h"
+#include "relay/server_choice.h"
 
 namespace qp::relay::testing {
 
@@ -70,4 +71,13 @@
   return route;
 }
 
+/// A choice for a request of 1,000 tokens in zone "a".
+inline ChoiceQuery MakeQuery() {
+  ChoiceQuery query;
+  query.availability_zone = "a";
+  query.prompt_tokens = 800;
+  query.output_tokens = 200;
+  return query;
+}
+
 }  // namespace qp::relay::testing
--- a/packages/relay/tests/relay/server_choice_test.cc
+++ b/packages/relay/tests/relay/server_choice_test.cc
@@ -13,16 +13,8 @@
 
 const TimePoint kNow{std::chrono::hours(1)};
 
-ChoiceQuery Query() {
-  ChoiceQuery query;
-  query.availability_zone = "a";
-  query.prompt_tokens = 800;
-  query.output_tokens = 200;
-  return query;
-}
-
 std::optional<Chain> Choose(const std::vector<ServerPtr>& engines,
-                            const ChoiceQuery& query = Query()) {
+                            const ChoiceQuery& query = MakeQuery()) {
   std::mt19937_64 random(7);
   return ChooseChain(MakeRoomyProfile(), engines, query, kNow, random);
 }
@@ -113,7 +105,7 @@
   const auto spare = MakeEngine("spare", "large", {0, 80});
   const auto rest = MakeEngine("rest", "middle", {30, 80});
   const ChainStage fixed{first, {0, 40}};
-  ChoiceQuery query = Query();
+  ChoiceQuery query = MakeQuery();
   query.first_stage = &fixed;
   const auto chain = Choose({first, rest, spare}, query);
   REQUIRE(chain);
@@ -139,7 +131,7 @@
   CHECK(Names(*Choose({suspect, slow})) == std::vector<std::string>{"slow"});
   // A suspicion may be wrong: better than no chain at all.
   CHECK(Names(*Choose({suspect})) == std::vector<std::string>{"fast"});
-  ChoiceQuery query = Query();
+  ChoiceQuery query = MakeQuery();
   const std::vector<std::string> excluded = {"slow"};
   query.excluded = excluded;
   CHECK_FALSE(Choose({slow}, query));
@@ -152,13 +144,13 @@
   const auto last = MakeEngine("last", "large", {48, 80});
   std::mt19937_64 random(7);
   const std::vector<ServerPtr> engines = {full, rest, last};
-  CHECK(ChooseChain(MakeProfile(), engines, Query(), kNow, random));
+  CHECK(ChooseChain(MakeProfile(), engines, MakeQuery(), kNow, random));
   // 32 layers leave 16 GB, some 43,000 tokens.
   SECTION("for its own requests") { full->kv_token_layers = 43000.0 * 32; }
   SECTION("for those of other processes") {
     full->peer_kv_token_layers = 43000.0 * 32;
   }
-  CHECK_FALSE(ChooseChain(MakeProfile(), engines, Query(), kNow, random));
+  CHECK_FALSE(ChooseChain(MakeProfile(), engines, MakeQuery(), kNow, random));
 }
 
 TEST_CASE("Load that others report moves requests to idle engines",
@@ -170,7 +162,7 @@
   const std::vector<ServerPtr> engines = {busy, idle};
   for (int round = 0; round < 20; ++round) {
     const auto chain =
-        ChooseChain(MakeRoomyProfile(), engines, Query(), kNow, random);
+        ChooseChain(MakeRoomyProfile(), engines, MakeQuery(), kNow, random);
     REQUIRE(chain);
     CHECK(chain->stages.front().server == idle);
   }
@@ -189,7 +181,7 @@
   }
   SECTION("draining") { first->record.draining = true; }
   SECTION("another zone") { first->record.availability_zone = "b"; }
-  CHECK(ChooseServer(servers, Query(), kNow, random) == second);
+  CHECK(ChooseServer(servers, MakeQuery(), kNow, random) == second);
 }
 
 TEST_CASE("No plain server is chosen where none is usable",
@@ -198,7 +190,7 @@
   const auto gone = Plain("gone");
   gone->removed_at = kNow;
   const std::vector<ServerPtr> servers = {gone};
-  CHECK(ChooseServer(servers, Query(), kNow, random) == nullptr);
+  CHECK(ChooseServer(servers, MakeQuery(), kNow, random) == nullptr);
 }
 
 TEST_CASE("A paused server gets nothing, even if there is no other",
@@ -206,13 +198,13 @@
   std::mt19937_64 random(7);
   const std::vector<ServerPtr> servers = {Plain("s1"), Plain("s2")};
   servers[0]->NotePause(kNow, std::chrono::seconds(2));
-  CHECK(ChooseServer(servers, Query(), kNow, random) == servers[1]);
+  CHECK(ChooseServer(servers, MakeQuery(), kNow, random) == servers[1]);
   CHECK_FALSE(EndOfCommonPause(servers, kNow));
   servers[1]->NotePause(kNow, std::chrono::seconds(1));
-  CHECK(ChooseServer(servers, Query(), kNow, random) == nullptr);
+  CHECK(ChooseServer(servers, MakeQuery(), kNow, random) == nullptr);
   CHECK(EndOfCommonPause(servers, kNow) == kNow + std::chrono::seconds(1));
   const TimePoint later = kNow + std::chrono::seconds(1);
-  CHECK(ChooseServer(servers, Query(), later, random) == servers[1]);
+  CHECK(ChooseServer(servers, MakeQuery(), later, random) == servers[1]);
   CHECK_FALSE(EndOfCommonPause(servers, later));
 }
 
@@ -246,7 +238,7 @@
   SECTION("but a running stream may be moved at its first engine") {
     engines[0]->NotePause(kNow, std::chrono::seconds(1));
     const ChainStage first{engines[0], {0, 40}};
-    ChoiceQuery query = Query();
+    ChoiceQuery query = MakeQuery();
     query.first_stage = &first;
     CHECK(Choose(engines, query));
   }
--- a/packages/relay/tests/relay/stream_move_test.cc
+++ b/packages/relay/tests/relay/stream_move_test.cc
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 #include <set>
+#include <utility>
+#include <vector>
 
 #include "foundation/wait.h"
 #include "relay/relay_harness.h"
@@ -62,18 +64,19 @@
   return size + event + "\r\n";
 }
 
-/// A stream over the engine "first" and one of two others, which has sent one
-/// event.
-struct World {
-  explicit World(Repeat repeat = Repeat::kResume) {
+/// A stream over the engine "first" and others, which has sent one event.
+struct Stream {
+  Stream(Repeat repeat,
+         const std::vector<std::pair<std::string, LayerRange>>& others) {
     Route route = MakeRoute("/s/", repeat, "model");
     route.streaming = true;
     route.timeout = std::chrono::seconds(20);
     harness.Configure({route});
     harness.relay.engines = &engines;
     first = &harness.AddEngine("first", {0, 40});
-    harness.AddEngine("rest", {40, 80});
-    harness.AddEngine("spare", {40, 80});
+    for (const auto& [id, layers] : others) {
+      harness.AddEngine(id, layers);
+    }
     caller = &harness.Call(RelayHarness::Request("/s/x"));
     REQUIRE(harness.Gets(*first, 1));
     first->last().channel->Write(
@@ -81,6 +84,18 @@
         "Transfer-Encoding: chunked\r\n\r\n" +
         Event(1, "a"));
     REQUIRE(harness.Receives(*caller, "data: a"));
+  }
+
+  RelayHarness harness;
+  MovingEngines engines;
+  ScriptedServer* first = nullptr;
+  Peer* caller = nullptr;
+};
+
+/// One of the two others has a part in the stream.
+struct World : Stream {
+  explicit World(Repeat repeat = Repeat::kResume)
+      : Stream(repeat, {{"rest", {40, 80}}, {"spare", {40, 80}}}) {
     // Others' streams go on through the first engine.
     harness.runtime.Advance(milliseconds(300));
     harness.relay.servers.Find("first")->NoteProgress(harness.relay.Now());
@@ -89,11 +104,6 @@
   std::uint32_t InFlight(const std::string& id) {
     return harness.relay.servers.Find(id)->in_flight;
   }
-
-  RelayHarness harness;
-  MovingEngines engines;
-  ScriptedServer* first = nullptr;
-  Peer* caller = nullptr;
 };
 
 }  // namespace
@@ -320,25 +330,11 @@
 
 namespace {
 
-/// A stream over "first", "second" and "third", which has sent one event; there
-/// is one more engine for the layers of each of the last two.
-struct LongChain {
-  LongChain() {
-    Route route = MakeRoute("/s/", Repeat::kResume, "model");
-    route.streaming = true;
-    route.timeout = std::chrono::seconds(20);
-    harness.Configure({route});
-    harness.relay.engines = &engines;
-    first = &harness.AddEngine("first", {0, 40});
-    harness.AddEngine("second", {40, 60});
-    harness.AddEngine("third", {60, 80});
-    caller = &harness.Call(RelayHarness::Request("/s/x"));
-    REQUIRE(harness.Gets(*first, 1));
-    first->last().channel->Write(
-        "HTTP/1.1 200 OK\r\nAttempt: a1\r\nSignature: s\r\n"
-        "Transfer-Encoding: chunked\r\n\r\n" +
-        Event(1, "a"));
-    REQUIRE(harness.Receives(*caller, "data: a"));
+/// The stream runs over "first", "second" and "third"; there is one more engine
+/// for the layers of each of the last two.
+struct LongChain : Stream {
+  LongChain()
+      : Stream(Repeat::kResume, {{"second", {40, 60}}, {"third", {60, 80}}}) {
     harness.AddEngine("spare", {40, 60});
     harness.AddEngine("last", {60, 80});
   }
@@ -353,11 +349,6 @@
   bool IsSuspect(const std::string& id) {
     return harness.relay.servers.Find(id)->IsSuspect(harness.relay.Now());
   }
-
-  RelayHarness harness;
-  MovingEngines engines;
-  ScriptedServer* first = nullptr;
-  Peer* caller = nullptr;
 };
 
 }  // namespace
