Doubt the new engines of a stream that stays silent after its move

Cause, found by reading the diff: once the first engine had named a lost one, that engine stayed the only one in question for the rest of the try. If the stream was moved and still got nothing for 700 ms, no engine of its new chain was doubted, and the next try could run over the same ones.

Change: what is known to be lost is forgotten once a move is taken.

Test first red: "A stream that stays silent after its move doubts the new engines".

--- a/packages/relay/src/relay/exchange_move.cc
+++ b/packages/relay/src/relay/exchange_move.cc
@@ -201,6 +201,8 @@
 void Exchange::TakeMove(std::unique_ptr<ChainLoad> next) {
   this->chain = next->chain();
   this->load = std::move(next);
+  // If it stays silent, the new engines come into question too.
+  this->move_lost.clear();
 }
 
 void Exchange::FailMove(const Chain& next, const Result<MoveAnswer>& answer) {
--- a/packages/relay/tests/relay/stream_move_test.cc
+++ b/packages/relay/tests/relay/stream_move_test.cc
@@ -385,6 +385,20 @@
   CHECK(world.first->requests() == 1);
 }
 
+// The engine that was replaced was still the only one in question when the new
+// one sent nothing either, and the next try ran over the same engines.
+TEST_CASE("A stream that stays silent after its move doubts the new engines",
+          "[relay][exchange][streams][move]") {
+  LongChain world;
+  world.engines.stalled["a1"] =
+      world.harness.relay.servers.Find("third")->record.address;
+  world.harness.runtime.Advance(milliseconds(700));
+  REQUIRE(world.engines.moved.size() == 1);
+  world.harness.runtime.Advance(milliseconds(800));
+  CHECK(world.harness.Gets(*world.first, 2));
+  CHECK(world.IsSuspect("last"));
+}
+
 TEST_CASE("A first engine that has asked for a pause is not asked",
           "[relay][exchange][streams][move]") {
   World world;
