Give tests one base for fake engines, and correct a comment

Cause: three test files filled the same methods of EngineControl; the comment on the range of answer limits said that the most leaves room for some hundred requests, which is not so on a small VM.

Change: IdleEngines; the comment; one nesting less in BeginMove.

--- a/packages/relay/src/relay/entry_settings.cc
+++ b/packages/relay/src/relay/entry_settings.cc
@@ -12,8 +12,8 @@
 namespace {
 
 constexpr double kLongestMs = 600'000;
-/// Of a limit on answers: sound ones fit into the fewest, and the most leaves
-/// room for some hundred requests.
+/// Range of a limit on answers, to find mistakes of units: heads of sound
+/// answers fit into the fewest, and a few requests at the most fill a small VM.
 constexpr std::uint64_t kFewestBytes = 4 * 1024;
 constexpr std::uint64_t kMostBytes = 16 * 1024 * 1024;
 
--- a/packages/relay/src/relay/exchange_move.cc
+++ b/packages/relay/src/relay/exchange_move.cc
@@ -81,11 +81,11 @@
                                {"peer", this->server->record.id},
                                {"step", "stream.inquiry"},
                                {"detail", ToString(stalled.error())}});
-  }
-  if (!stalled && IsNoAnswer(stalled.error())) {
-    this->NoteLost(this->server);
-    this->ReplaceSilentTry();
-    return;
+    if (IsNoAnswer(stalled.error())) {
+      this->NoteLost(this->server);
+      this->ReplaceSilentTry();
+      return;
+    }
   }
   if (const auto lost = stalled ? this->FindLost(stalled.value()) : nullptr) {
     this->NoteLost(lost);
--- a/packages/relay/tests/relay/layer_keeper_test.cc
+++ b/packages/relay/tests/relay/layer_keeper_test.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 
+#include "relay/idle_engines.h"
 #include "relay/relay_harness.h"
 #include "storage/table.h"
 
@@ -12,7 +13,7 @@
 namespace {
 
 /// Engines that take orders at once, unless told otherwise.
-class ScriptedEngines : public EngineControl {
+class ScriptedEngines : public IdleEngines {
  public:
   struct Order {
     std::string engine;
@@ -20,7 +21,6 @@
     std::uint64_t order_count;
   };
 
-  void TellOfLeaving(LeavingListener&) override {}
   Task<Result<OrderOutcome>> Hold(ServerRecord engine, LayerRange layers,
                                   std::uint64_t order_count) override {
     this->orders.push_back({engine.id, layers, order_count});
@@ -45,13 +45,6 @@
     co_return state;
   }
 
-  Task<Result<StalledRequests>> FindStalled(ServerRecord) override {
-    co_return StalledRequests();
-  }
-  Task<Result<MoveAnswer>> MoveStream(std::string, Chain) override {
-    co_return MoveAnswer{};
-  }
-
   std::function<void()> on_order;
   std::vector<Order> orders;
   std::map<std::string, std::uint64_t> begun;
--- a/packages/relay/tests/relay/stall_inquiry_test.cc
+++ b/packages/relay/tests/relay/stall_inquiry_test.cc
@@ -4,6 +4,7 @@
 
 #include "foundation/wait.h"
 #include "relay/configurations.h"
+#include "relay/idle_engines.h"
 #include "testing/test_runtime.h"
 
 namespace qp::relay::testing {
@@ -13,18 +14,10 @@
 using std::chrono::milliseconds;
 
 /// Says after 5 ms that request "r1" waits for an engine.
-class SlowEngines : public EngineControl {
+class SlowEngines : public IdleEngines {
  public:
   explicit SlowEngines(Clock& time) : clock(time) {}
 
-  void TellOfLeaving(LeavingListener&) override {}
-  Task<Result<OrderOutcome>> Hold(ServerRecord, LayerRange,
-                                  std::uint64_t) override {
-    co_return OrderOutcome::kRefused;
-  }
-  Task<Result<EngineState>> Ask(ServerRecord engine) override {
-    co_return Error{ErrorCode::kUnavailable, "ask", engine.id, ""};
-  }
   Task<Result<StalledRequests>> FindStalled(ServerRecord engine) override {
     this->asked.push_back(engine.id);
     co_await SleepFor(this->clock, milliseconds(5));
@@ -35,9 +28,6 @@
     stalled["r1"] = "10.1.64.9:8080";
     co_return stalled;
   }
-  Task<Result<MoveAnswer>> MoveStream(std::string, Chain) override {
-    co_return MoveAnswer{};
-  }
 
   Clock& clock;
   std::vector<std::string> asked;
--- a/packages/relay/tests/relay/stream_move_test.cc
+++ b/packages/relay/tests/relay/stream_move_test.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "foundation/wait.h"
+#include "relay/idle_engines.h"
 #include "relay/relay_harness.h"
 
 namespace qp::relay::testing {
@@ -11,16 +12,8 @@
 namespace {
 
 /// Takes orders to move streams, and gives the answer that the test has set.
-class MovingEngines : public EngineControl {
+class MovingEngines : public IdleEngines {
  public:
-  void TellOfLeaving(LeavingListener&) override {}
-  Task<Result<OrderOutcome>> Hold(ServerRecord, LayerRange,
-                                  std::uint64_t) override {
-    co_return OrderOutcome::kRefused;
-  }
-  Task<Result<EngineState>> Ask(ServerRecord engine) override {
-    co_return Error{ErrorCode::kUnavailable, "ask", engine.id, ""};
-  }
   Task<Result<StalledRequests>> FindStalled(ServerRecord engine) override {
     this->asked.push_back(engine.id);
     if (this->mute) {
