--- a/packages/relay/src/relay/exchange_responses.cc
+++ b/packages/relay/src/relay/exchange_responses.cc
@@ -289,12 +289,15 @@
 void Exchange::OnFailure(CallFailure failure) {
   this->EndTry(false);
   const ServerPtr target = this->server;
-  this->relay.events.Record(EventId::kRelayAttemptFailed,
-                            {{"request", this->metadata.attempt_id},
-                             {"peer", target->record.id},
-                             {"step", failure.error.step},
-                             {"detail", failure.error.detail},
-                             {"tries", std::to_string(this->tries)}});
+  this->relay.events.Record(
+      EventId::kRelayAttemptFailed,
+      {{"request", this->metadata.attempt_id},
+       {"peer", target->record.id},
+       {"step", failure.error.step},
+       {"detail", failure.error.detail},
+       {"begun", this->try_has_events ? "true" : "false"},
+       {"parts", FormatParts(this->metadata.shared_parts)},
+       {"tries", std::to_string(this->tries)}});
   if (!failure.was_reused) {
     if (this->chain && failure.may_have_run) {
       this->SuspectSilentEngines(this->last_progress_at);
--- a/packages/relay/src/relay/log_text.cc
+++ b/packages/relay/src/relay/log_text.cc
@@ -1,9 +1,17 @@
 #include "relay/log_text.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace qp::relay {
 
+namespace {
+
+constexpr std::size_t kMaxLoggedParts = 8;
+constexpr std::size_t kMaxLoggedPartLength = 32;  ///< Characters.
+
+}  // namespace
+
 std::string FormatChain(const std::optional<Chain>& chain) {
   std::string text;
   if (chain) {
@@ -16,6 +24,18 @@
   return text;
 }
 
+std::string FormatParts(std::span<const std::string> parts) {
+  std::string text;
+  const std::size_t shown = std::min(parts.size(), kMaxLoggedParts);
+  for (const auto& part : parts.first(shown)) {
+    text += (text.empty() ? "" : " ") + part.substr(0, kMaxLoggedPartLength);
+  }
+  if (shown < parts.size()) {
+    text += " +" + std::to_string(parts.size() - shown);
+  }
+  return text;
+}
+
 std::string FormatMillis(Duration duration) {
   return std::to_string(
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
--- a/packages/relay/src/relay/protocol.h
+++ b/packages/relay/src/relay/protocol.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "foundation/clock.h"
 #include "http/message.h"
@@ -27,6 +28,9 @@
   std::optional<std::uint64_t> last_event_id;
   double prompt_tokens = 0;
   double output_tokens = 0;  ///< Maximum number of tokens of the response.
+  /// Ids of the parts of the prompt that other requests can share, each once,
+  /// sorted.
+  std::vector<std::string> shared_parts;
 };
 
 /// Information that the relay adds to a request to a server.
