Keep prompt parts that crash engines away from engines

Cause: a request whose engine crashed was sent to the next engine at once, and nothing linked one crash with the next, so that new requests with the part crashed engines through every process (a failure that travels with the work: retry amplification of a poisonous request).

Change: PromptQuarantine decides from crashes and begun responses which parts are suspect, tried by one request at a time, or quarantined; CrashProbe tells a crash from a broken connection; processes share crashes, begun responses and trials in their reports; quarantined parts are stored and read at the start, and each second by a process that hears no peer. Requests that wait on an engine are taken back when their part is quarantined.

GCC 12 miscompiled a co_await in a loop's condition (SIGILL, found by the test of the store).

--- a/packages/foundation/src/foundation/event.cc
+++ b/packages/foundation/src/foundation/event.cc
@@ -145,6 +145,26 @@
         EventId::kServerPaused, "server_paused", Severity::kWarning,
         "A backend server refused a request and asked for no more of them "
         "for a while."},
+    EventInfo{
+        EventId::kCrashProbed, "crash_probed", Severity::kWarning,
+        "A backend server broke off requests before their first event; "
+        "`crashed` says whether it refuses new connections, `parts` are the "
+        "shared prompt parts of the first of these requests."},
+    EventInfo{
+        EventId::kPromptPartQuarantined, "prompt_part_quarantined",
+        Severity::kError,
+        "Requests with this prompt part crash backend servers and are rejected "
+        "until it is tried again; `source` says who found it."},
+    EventInfo{
+        EventId::kPromptPartReleased, "prompt_part_released", Severity::kInfo,
+        "A prompt part is no longer quarantined, because a response to a "
+        "request with it has begun, another part explains its crashes, or "
+        "it was not seen for long."},
+    EventInfo{
+        EventId::kQuarantineNotStored, "quarantine_not_stored",
+        Severity::kWarning,
+        "A change of the quarantined prompt parts could not be written to "
+        "the table, or they could not be read; tried again."},
 };
 
 }  // namespace
--- a/packages/foundation/src/foundation/event.h
+++ b/packages/foundation/src/foundation/event.h
@@ -80,6 +80,10 @@
   kRelayStreamMoved = 7009,
   kServerLeaving = 7010,
   kServerPaused = 7011,
+  kCrashProbed = 7012,
+  kPromptPartQuarantined = 7013,
+  kPromptPartReleased = 7014,
+  kQuarantineNotStored = 7015,
 };
 
 /// Catalogue entry of an event.
--- a/packages/relay/src/relay/entry_daemon.cc
+++ b/packages/relay/src/relay/entry_daemon.cc
@@ -11,6 +11,7 @@
 #include "relay/entry_registry.h"
 #include "relay/layer_controller.h"
 #include "relay/leaving_handler.h"
+#include "relay/quarantine_store.h"
 #include "relay/rate_limited_event_sink.h"
 #include "relay/relay.h"
 #include "relay/store_watcher.h"
@@ -71,6 +72,7 @@
 }  // namespace
 
 struct EntryDaemon::State : ReportListener,
+                            QuarantineListener,
                             std::enable_shared_from_this<EntryDaemon::State> {
   State(EntrySettings given, PlatformServices services,
         asio::io_context& context, Clock& time, EventSink& sink,
@@ -90,12 +92,14 @@
         gossip(relay, time, settings.node, *this),
         registry(relay, time, *services.table, gossip, settings.node,
                  settings.peer_address),
+        quarantine_store(relay, time, *services.table),
         status(relay.metrics, [this] { return this->IsReady(); }),
         readiness(context, time, http::ServerLimits{}, status),
         metrics(context, time, http::ServerLimits{}, status) {
     this->relay.engines = services.engines;
     this->relay.response_limits = this->settings.response_limits;
     services.engines->SetLeavingListener(this->leaving_handler);
+    this->relay.quarantine.SetListener(this);
     this->watcher.on_change = [this] { this->LogReadiness(); };
     this->watcher.on_servers_polled = [this] { this->gossip.SendUpdate(); };
   }
@@ -103,7 +107,7 @@
   bool IsReady() const {
     return !this->relay.draining &&
            this->relay.active_configuration != nullptr &&
-           this->watcher.has_servers();
+           this->watcher.has_servers() && this->quarantine_store.loaded();
   }
 
   void LogReadiness() {
@@ -125,11 +129,50 @@
       this->last_holder_report_at = this->clock.Now();
     }
     this->watcher.ApplyReport(report);
+    this->relay.quarantine.Merge(report.node, report.parts, this->clock.Now());
   }
 
   void FillReport(LoadReport& report) override {
     report.holds_lease = this->lease.FencingNumber().has_value();
     this->watcher.FillReport(report);
+    report.parts = this->relay.quarantine.MakeReports(this->clock.Now());
+  }
+
+  void OnChange() override {
+    // The resolution of the timers joins changes that follow each other.
+    if (!std::exchange(this->update_scheduled, true)) {
+      this->relay.timers.Schedule(this->clock.Now(), [this] {
+        this->update_scheduled = false;
+        this->gossip.SendUpdate(true);
+      });
+    }
+  }
+
+  void OnQuarantined(std::string_view part, std::size_t crashes,
+                     bool own) override {
+    this->relay.metrics.Count("quetzalpost_prompt_parts_total", "quarantined");
+    this->events.Record(EventId::kPromptPartQuarantined,
+                        {{"part", std::string(part)},
+                         {"crashes", std::to_string(crashes)},
+                         {"source", own ? "self" : "other"}});
+    if (own) {
+      this->quarantine_store.Save(part);
+    }
+  }
+
+  void OnReleased(std::string_view part, bool own) override {
+    this->relay.metrics.Count("quetzalpost_prompt_parts_total", "released");
+    this->events.Record(
+        EventId::kPromptPartReleased,
+        {{"part", std::string(part)}, {"source", own ? "self" : "other"}});
+    if (own) {
+      this->quarantine_store.Save(part);
+    }
+  }
+
+  Task<void> LoadQuarantine() {
+    co_await this->quarantine_store.LoadAtStart();
+    this->LogReadiness();
   }
 
   /// Tries to get the lease and renews it. Other processes leave the lease
@@ -156,7 +199,12 @@
       co_await SleepFor(this->clock, kMaintenanceInterval);
       this->relay.pool.Expire();
       this->relay.servers.Expire(this->clock.Now());
+      this->relay.quarantine.Expire(this->clock.Now());
       this->events.ReportSuppressed();
+      if (this->watcher.is_isolated() && this->gossip.has_peers()) {
+        // A failure has been logged and is tried again in the next round.
+        std::ignore = co_await this->quarantine_store.Load();
+      }
     }
   }
 
@@ -201,11 +249,13 @@
   LeavingHandler leaving_handler;
   LoadGossip gossip;
   EntryRegistry registry;
+  QuarantineStore quarantine_store;
   StatusHandler status;
   http::Server readiness;
   http::Server metrics;
   std::optional<TimePoint> last_holder_report_at;
   bool was_ready = false;
+  bool update_scheduled = false;  ///< Of the reports to all peers.
 };
 
 EntryDaemon::EntryDaemon(EntrySettings settings, PlatformServices services,
@@ -230,6 +280,7 @@
   self.Spawn(self.watcher.WatchServers());
   self.Spawn(self.HoldLease());
   self.Spawn(self.controller.Run());
+  self.Spawn(self.LoadQuarantine());
   self.Spawn(self.registry.Run());
   self.Spawn(self.gossip.Run());
   self.Spawn(self.RunMaintenance());
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -146,6 +146,9 @@
     this->GiveUp("no tries are left");
     return;
   }
+  if (!this->AdmitPrompt()) {
+    return;
+  }
   this->relay.servers.Expire(this->relay.Now());
   Target target = this->ChooseTarget(this->excluded);
   if (target.server == nullptr) {
@@ -204,6 +207,7 @@
   this->reading_paused = false;
 
   this->AddLoad();
+  this->TrackPrompt();
   ForwardMetadata forward;
   forward.server_id = this->server->record.id;
   forward.workspace = this->workspace;
@@ -251,6 +255,7 @@
 
 void Exchange::ReleaseTry() {
   this->RemoveLoad();
+  this->pending_prompt.reset();
   this->call = nullptr;
   this->progress_timer.Cancel();
 }
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -87,8 +87,24 @@
   /// Chooses a service of the route at random, by weight; `service` stays null
   /// if there is none.
   void ChooseService();
-  /// Sends the request to the next server if the limits on tries allow it.
+  /// Sends the request to the next server if the limits on tries and the
+  /// quarantine of prompt parts allow it.
   void TryServers();
+  /// Whether the prompt has shared parts and no response to this request has
+  /// begun, so that the parts can be what crashes engines.
+  bool IsPromptUnproven() const {
+    return !this->prompt_started && !this->metadata.shared_parts.empty();
+  }
+  /// Whether the request can be sent now. Otherwise rejects it, or tries again
+  /// after a while because a trial of one of its parts is running.
+  bool AdmitPrompt();
+  void RejectPrompt(const Admission& admission);
+  /// Registers the request as pending with the quarantine.
+  void TrackPrompt();
+  /// Ends the request because a part of its prompt was quarantined.
+  void HandlePromptQuarantined();
+  /// A response has begun, which shows that the prompt crashes no engine.
+  void RecordPromptStart();
   ChoiceQuery MakeQuery() const;
   /// Chooses a server, or a chain if the service has engines. The server is
   /// null if none can take the request.
@@ -224,6 +240,11 @@
   bool may_have_run = false;
   std::vector<std::string> excluded;  ///< Ids of servers to avoid.
   std::string last_failure;
+  /// Since when the request waits for trials of its prompt parts.
+  std::optional<TimePoint> waiting_since;
+  /// Set while a server has the request and its response has not begun.
+  std::unique_ptr<PromptQuarantine::PendingRequest> pending_prompt;
+  bool prompt_started = false;  ///< A server has begun to respond.
 
   // The response to the caller.
   EventSplitter splitter;
@@ -231,6 +252,7 @@
   /// Reading from the server is paused because the caller reads too slowly.
   bool reading_paused = false;
   std::optional<std::uint64_t> last_event_id;
+  int data_events = 0;  ///< Events with data so far, over all tries.
   /// Time of the latest of: start of the try, event with new data, end of a
   /// pause in reading.
   TimePoint last_progress_at{};
--- a/packages/relay/src/relay/exchange_responses.cc
+++ b/packages/relay/src/relay/exchange_responses.cc
@@ -18,6 +18,9 @@
 /// server.
 constexpr unsigned kWrongServerStatus = 421;
 constexpr unsigned kFirstServerError = 500;
+/// Events after which the prompt has not crashed the engine. An engine can have
+/// sent the first one when it crashes.
+constexpr int kEventsOfSoundPrompt = 2;
 
 }  // namespace
 
@@ -180,6 +183,7 @@
     }
     // Comments only keep the connection open and do not count as progress.
     progress = progress || event->has_data;
+    this->data_events += event->has_data ? 1 : 0;
     chunk.append(event->bytes);
   }
   if (chunk.empty()) {
@@ -188,6 +192,9 @@
   if (progress) {
     this->RecordEvents();
   }
+  if (this->data_events >= kEventsOfSoundPrompt) {
+    this->RecordPromptStart();
+  }
   this->BeginResponse();
   this->sink.Write(SerializeChunk(chunk));
 }
@@ -232,6 +239,9 @@
     this->CompleteStream();
     return;
   }
+  if (IsSuccess(this->head->status)) {
+    this->RecordPromptStart();
+  }
   this->EndTry(this->head->status < kFirstServerError);
   if (this->response_begun) {
     this->sink.Write(kLastChunk);
@@ -251,6 +261,7 @@
     this->HandleFailedTry(true, "the stream ended inside of an event");
     return;
   }
+  this->RecordPromptStart();
   this->EndTry(true);
   this->BeginResponse();
   this->sink.Write(kLastChunk);
@@ -298,6 +309,10 @@
        {"begun", this->try_has_events ? "true" : "false"},
        {"parts", FormatParts(this->metadata.shared_parts)},
        {"tries", std::to_string(this->tries)}});
+  if (failure.may_have_run && this->IsPromptUnproven()) {
+    this->relay.crash_probe.ReportBroken(target, this->metadata.shared_parts,
+                                         this->try_started_at);
+  }
   if (!failure.was_reused) {
     if (this->chain && failure.may_have_run) {
       this->SuspectSilentEngines(this->last_progress_at);
--- a/packages/relay/src/relay/exchange_silence.cc
+++ b/packages/relay/src/relay/exchange_silence.cc
@@ -134,9 +134,15 @@
   if (!this->chain) {
     avoided.push_back(this->server->record.id);
   }
+  const bool admitted =
+      !this->IsPromptUnproven() ||
+      this->relay.quarantine
+          .Admit(this->metadata.shared_parts, this->relay.Now())
+          .may_send();
   Target target = this->ChooseTarget(avoided);
-  if (target.server == nullptr || !this->relay.retry_budget.TryAcquire(
-                                      this->service->name, this->relay.Now())) {
+  if (!admitted || target.server == nullptr ||
+      !this->relay.retry_budget.TryAcquire(this->service->name,
+                                           this->relay.Now())) {
     this->StartProgressTimer(this->relay.Now() + kMaxEventGap);
     return;
   }
--- a/packages/relay/src/relay/load_gossip.cc
+++ b/packages/relay/src/relay/load_gossip.cc
@@ -235,9 +235,9 @@
   }
 }
 
-void LoadGossip::SendUpdate() {
+void LoadGossip::SendUpdate(bool to_other_zones) {
   LoadReport report = this->MakeReport();
-  this->SendToPeers(report, false);
+  this->SendToPeers(report, to_other_zones);
 }
 
 void LoadGossip::SendToPeers(LoadReport& report, bool to_other_zones) {
--- a/packages/relay/src/relay/load_gossip.h
+++ b/packages/relay/src/relay/load_gossip.h
@@ -117,8 +117,9 @@
   /// Sends reports until the process ends.
   Task<void> Run();
   /// Sends a report to the peers of the zone at once, without waiting for the
-  /// interval.
-  void SendUpdate();
+  /// interval. `to_other_zones`: also to all processes of other zones.
+  void SendUpdate(bool to_other_zones = false);
+  bool has_peers() const { return !this->peers.empty(); }
 
  private:
   /// The load of the zone is sent after a report whose number is a multiple of
--- a/packages/relay/src/relay/load_report.cc
+++ b/packages/relay/src/relay/load_report.cc
@@ -10,15 +10,17 @@
 
 /// Version of the layout, the first member of each report. Datagrams with
 /// another version are rejected.
-constexpr std::uint32_t kReportFormat = 5;
+constexpr std::uint32_t kReportFormat = 6;
 
 // Lengths of the arrays in a report.
-constexpr std::size_t kReportMembers = 15;
+constexpr std::size_t kReportMembers = 16;
 constexpr std::size_t kLoadMembers = 3;
 constexpr std::size_t kRefusalMembers = 2;
 constexpr std::size_t kUpdateMembers = 3;
 constexpr std::size_t kEntryMembers = 3;
 constexpr std::size_t kRecordMembers = 9;
+constexpr std::size_t kPartMembers = 4;
+constexpr std::size_t kCrashMembers = 3;
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -120,6 +122,41 @@
   return update;
 }
 
+void Pack(Packer& packer, const PartReport& report) {
+  packer.pack_array(kPartMembers);
+  packer.pack(report.part);
+  packer.pack_array(static_cast<std::uint32_t>(report.crashes.size()));
+  for (const auto& crash : report.crashes) {
+    packer.pack_array(kCrashMembers);
+    packer.pack(crash.engine);
+    packer.pack(crash.crashed_ms_ago);
+    packer.pack(crash.sent_ms_ago);
+  }
+  if (report.started_ms_ago) {
+    packer.pack(*report.started_ms_ago);
+  } else {
+    packer.pack_nil();
+  }
+  packer.pack(report.trial_ms);
+}
+
+PartReport DecodePart(const msgpack::object& object) {
+  const auto members = ElementsOf(object, kPartMembers);
+  PartReport report;
+  report.part = members[0].as<std::string>();
+  for (const auto& element : ElementsOf(members[1])) {
+    const auto parts = ElementsOf(element, kCrashMembers);
+    report.crashes.push_back({parts[0].as<std::uint64_t>(),
+                              parts[1].as<std::uint32_t>(),
+                              parts[2].as<std::uint32_t>()});
+  }
+  if (!members[2].is_nil()) {
+    report.started_ms_ago = members[2].as<std::uint32_t>();
+  }
+  report.trial_ms = members[3].as<std::uint32_t>();
+  return report;
+}
+
 LoadReport DecodeReport(const msgpack::object& object) {
   const auto members = ElementsOf(object, kReportMembers);
   if (members[0].as<std::uint32_t>() != kReportFormat) {
@@ -146,6 +183,9 @@
   report.covers_zone = members[12].as<bool>();
   report.configuration_age_ms = members[13].as<std::uint32_t>();
   report.reads_configuration = members[14].as<bool>();
+  for (const auto& part : ElementsOf(members[15])) {
+    report.parts.push_back(DecodePart(part));
+  }
   return report;
 }
 
@@ -184,6 +224,10 @@
   packer.pack(report.covers_zone);
   packer.pack(report.configuration_age_ms);
   packer.pack(report.reads_configuration);
+  packer.pack_array(static_cast<std::uint32_t>(report.parts.size()));
+  for (const auto& part : report.parts) {
+    Pack(packer, part);
+  }
   return {bytes.data(), bytes.size()};
 }
 
--- a/packages/relay/src/relay/load_report.h
+++ b/packages/relay/src/relay/load_report.h
@@ -7,6 +7,7 @@
 
 #include "foundation/error.h"
 #include "relay/deployment_store.h"
+#include "relay/prompt_quarantine.h"
 
 namespace qp::relay {
 
@@ -66,6 +67,8 @@
   /// Recent changes of the server list that the process has read from the
   /// store, oldest first.
   std::vector<ServerUpdate> updates;
+  /// Prompt parts that are suspect, quarantined or have just been cleared.
+  std::vector<PartReport> parts;
 };
 
 std::string EncodeLoadReport(const LoadReport& report);
--- /dev/null
+++ b/packages/relay/src/relay/quarantine_store.cc
@@ -0,0 +1,114 @@
+#include "relay/quarantine_store.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+#include "foundation/wait.h"
+
+namespace qp::relay {
+
+namespace {
+
+constexpr std::string_view kPrefix = "prompt_part/";
+
+/// Not inlined into the coroutine: GCC 12 destroys the temporaries of an
+/// initializer list in a coroutine twice.
+std::vector<TableOperation> MakeWrite(const PartReport& report,
+                                      bool quarantined) {
+  TableOperation operation;
+  operation.key = std::string(kPrefix) + report.part;
+  if (quarantined) {
+    auto crashes = nlohmann::json::array();
+    for (const auto& crash : report.crashes) {
+      crashes.push_back({{"engine", crash.engine},
+                         {"crashed_ms_ago", crash.crashed_ms_ago},
+                         {"sent_ms_ago", crash.sent_ms_ago}});
+    }
+    operation.put.emplace();
+    (*operation.put)["crashes"] = std::move(crashes);
+  }
+  return Single(std::move(operation));
+}
+
+/// Throws nlohmann::json::exception if the item has another form.
+PartReport ParseItem(const TableItem& item) {
+  PartReport report;
+  report.part = item.key.substr(kPrefix.size());
+  for (const auto& crash : item.value.at("crashes")) {
+    report.crashes.push_back({crash.at("engine").get<std::uint64_t>(),
+                              crash.at("crashed_ms_ago").get<std::uint32_t>(),
+                              crash.at("sent_ms_ago").get<std::uint32_t>()});
+  }
+  return report;
+}
+
+}  // namespace
+
+QuarantineStore::QuarantineStore(RelayContext& context, Clock& time,
+                                 Table& service)
+    : relay(context), clock(time), table(service) {}
+
+void QuarantineStore::RecordFailure(const Error& error) {
+  this->relay.events.Record(
+      EventId::kQuarantineNotStored,
+      {{"step", error.step}, {"peer", error.peer}, {"detail", error.detail}});
+}
+
+Task<void> QuarantineStore::LoadAtStart() {
+  while (true) {
+    // GCC 12 miscompiles a co_await in the condition of a loop.
+    const bool done = co_await this->Load();
+    if (done) {
+      co_return;
+    }
+    co_await SleepFor(this->clock, kRetryInterval);
+  }
+}
+
+Task<bool> QuarantineStore::Load() {
+  std::string prefix(kPrefix);
+  const auto items = co_await this->table.Scan(std::move(prefix));
+  if (!items) {
+    this->RecordFailure(items.error());
+    co_return false;
+  }
+  for (const auto& item : items.value()) {
+    try {
+      this->relay.quarantine.Restore(ParseItem(item), this->relay.Now());
+    } catch (const nlohmann::json::exception& failure) {
+      this->relay.events.Record(
+          EventId::kRelayEntryUnreadable,
+          {{"entry", item.key}, {"detail", failure.what()}});
+    }
+  }
+  this->is_loaded = true;
+  co_return true;
+}
+
+void QuarantineStore::Save(std::string_view part) {
+  this->unsaved.emplace(part);
+  if (!std::exchange(this->writing, true)) {
+    asio::co_spawn(this->relay.io, this->WriteUnsaved(), asio::detached);
+  }
+}
+
+Task<void> QuarantineStore::WriteUnsaved() {
+  while (!this->unsaved.empty()) {
+    const std::string part = *this->unsaved.begin();
+    this->unsaved.erase(this->unsaved.begin());
+    auto operations =
+        MakeWrite(this->relay.quarantine.MakeReport(part, this->relay.Now()),
+                  this->relay.quarantine.IsQuarantined(part));
+    const auto written = co_await this->table.Transact(TransactMode::kAll,
+                                                       std::move(operations));
+    if (!written) {
+      this->RecordFailure(written.error());
+      this->unsaved.insert(part);
+      co_await SleepFor(this->clock, kRetryInterval);
+    }
+  }
+  this->writing = false;
+}
+
+}  // namespace qp::relay
--- a/packages/relay/src/relay/rate_limited_event_sink.cc
+++ b/packages/relay/src/relay/rate_limited_event_sink.cc
@@ -10,7 +10,8 @@
 
 bool ConcernsOneRequest(EventId id) {
   return id == EventId::kRelayRequestFinished ||
-         id == EventId::kRelayAttemptFailed || id == EventId::kServerSuspected;
+         id == EventId::kRelayAttemptFailed ||
+         id == EventId::kServerSuspected || id == EventId::kCrashProbed;
 }
 
 }  // namespace
--- a/packages/relay/src/relay/relay.h
+++ b/packages/relay/src/relay/relay.h
@@ -8,8 +8,10 @@
 
 #include "foundation/asio.h"
 #include "foundation/event.h"
+#include "relay/crash_probe.h"
 #include "relay/deployment.h"
 #include "relay/deployment_store.h"
+#include "relay/prompt_quarantine.h"
 #include "relay/protocol.h"
 #include "relay/relay_metrics.h"
 #include "relay/response_limits.h"
@@ -44,7 +46,8 @@
         pool(timers),
         retry_budget(retry_limits, timers.Now()),
         random(seed),
-        stalled_requests(context) {}
+        stalled_requests(context),
+        crash_probe(context, timers, sink, quarantine) {}
 
   TimePoint Now() const { return this->timers.Now(); }
 
@@ -69,6 +72,8 @@
   /// Null if the process does not control engines.
   EngineControl* engines = nullptr;
   StalledRequestFinder stalled_requests;
+  PromptQuarantine quarantine;
+  CrashProbe crash_probe;
 };
 
 }  // namespace qp::relay
--- a/packages/relay/src/relay/store_watcher.h
+++ b/packages/relay/src/relay/store_watcher.h
@@ -129,6 +129,8 @@
 
   /// Whether the server list has been read at least once.
   bool has_servers() const { return this->servers_known; }
+  /// Whether no peer has reported for kPeerTimeout.
+  bool is_isolated() const { return !this->HasRecentPeerReport(); }
 
   /// Called after each update of the server list and each new configuration.
   std::function<void()> on_change;
--- a/packages/relay/tests/relay/load_gossip_test.cc
+++ b/packages/relay/tests/relay/load_gossip_test.cc
@@ -37,8 +37,17 @@
     }
     report.refusals.push_back({*rc::gen::arbitrary<std::string>(),
                                *rc::gen::arbitrary<std::uint32_t>()});
+    PartReport part;
+    part.part = *rc::gen::arbitrary<std::string>();
+    part.trial_ms = *rc::gen::arbitrary<std::uint32_t>();
+    part.crashes.push_back({*rc::gen::arbitrary<std::uint64_t>(),
+                            *rc::gen::arbitrary<std::uint32_t>(), 7});
+    report.parts.push_back(part);
+    part.started_ms_ago = *rc::gen::arbitrary<std::uint32_t>();
+    report.parts.push_back(part);
     const auto decoded = DecodeLoadReport(EncodeLoadReport(report));
     RC_ASSERT(decoded.has_value());
+    RC_ASSERT(decoded.value().parts == report.parts);
     RC_ASSERT(decoded.value().number == report.number);
     RC_ASSERT(decoded.value().loads == report.loads);
     RC_ASSERT(decoded.value().refusals == report.refusals);
--- a/packages/relay/tests/relay/relay_harness.h
+++ b/packages/relay/tests/relay/relay_harness.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,10 @@
     metadata.host = http::HeaderOr(request, "Host");
     metadata.path = http::PathOf(request);
     metadata.key = http::HeaderOr(request, "Key");
+    std::string parts(http::HeaderOr(request, "Parts"));
+    for (std::istringstream ids(parts); std::getline(ids, parts, ',');) {
+      metadata.shared_parts.push_back(parts);
+    }
     const std::string deadline(http::HeaderOr(request, "Deadline-Ms"));
     if (!deadline.empty()) {
       metadata.deadline = milliseconds(std::stoi(deadline));
@@ -116,6 +121,13 @@
     return count;
   }
   Peer& last() { return *this->peers.back(); }
+  /// Closes all connections and refuses new ones.
+  void Crash() {
+    this->acceptor.close();
+    for (const auto& peer : this->peers) {
+      peer->channel->Close();
+    }
+  }
 
   std::vector<std::unique_ptr<Peer>> peers;
 
