Spread the trials of suspect prompt parts over engines

Cause: after a crash all suspect requests were sent to the same best engine. The next crash there left sound parts and the one at fault with the same crashes, so that a third and a fourth engine had to tell them apart.

Change: a trial leaves out none to three of the engines that it would choose first.

--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -150,7 +150,8 @@
     return;
   }
   this->relay.servers.Expire(this->relay.Now());
-  Target target = this->ChooseTarget(this->excluded);
+  Target target = this->is_trial ? this->ChooseTrialTarget()
+                                 : this->ChooseTarget(this->excluded);
   if (target.server == nullptr) {
     this->WaitOrGiveUp("no server can take it");
     return;
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -98,6 +98,9 @@
   /// Whether the request can be sent now. Otherwise rejects it, or tries again
   /// after a while because a trial of one of its parts is running.
   bool AdmitPrompt();
+  /// Chooses the target of a trial. Draws one of several, since parts whose
+  /// trials crash the same engine cannot be told apart.
+  Target ChooseTrialTarget();
   void RejectPrompt(const Admission& admission);
   /// Registers the request as pending with the quarantine.
   void TrackPrompt();
@@ -242,6 +245,7 @@
   std::string last_failure;
   /// Since when the request waits for trials of its prompt parts.
   std::optional<TimePoint> waiting_since;
+  bool is_trial = false;  ///< Of one of its prompt parts.
   /// Set while a server has the request and its response has not begun.
   std::unique_ptr<PromptQuarantine::PendingRequest> pending_prompt;
   bool prompt_started = false;  ///< A server has begun to respond.
--- a/packages/relay/src/relay/exchange_quarantine.cc
+++ b/packages/relay/src/relay/exchange_quarantine.cc
@@ -1,6 +1,8 @@
 // Keeping requests whose prompts crash engines away from engines.
 #include <algorithm>
 #include <chrono>
+#include <random>
+#include <utility>
 
 #include "relay/exchange.h"
 
@@ -17,9 +19,14 @@
 /// trial itself.
 constexpr Duration kMaxAdmissionWait = milliseconds(1500);
 
+/// Largest number of servers that a trial leaves out before it takes the best
+/// of the others.
+constexpr int kMaxSkipped = 3;
+
 }  // namespace
 
 bool Exchange::AdmitPrompt() {
+  this->is_trial = false;
   if (!this->IsPromptUnproven()) {
     return true;
   }
@@ -35,7 +42,9 @@
   }
   switch (admission.decision) {
     case AdmissionDecision::kSend:
+      return true;
     case AdmissionDecision::kTrial:
+      this->is_trial = true;
       return true;
     case AdmissionDecision::kWait:
       if (!this->waiting_since) {
@@ -54,6 +63,22 @@
   return true;
 }
 
+Target Exchange::ChooseTrialTarget() {
+  std::vector<std::string> avoided = this->excluded;
+  Target target = this->ChooseTarget(avoided);
+  int skipped =
+      std::uniform_int_distribution<int>(0, kMaxSkipped)(this->relay.random);
+  while (target.server != nullptr && skipped-- > 0) {
+    avoided.push_back(target.server->record.id);
+    Target next = this->ChooseTarget(avoided);
+    if (next.server == nullptr) {
+      break;
+    }
+    target = std::move(next);
+  }
+  return target;
+}
+
 void Exchange::RejectPrompt(const Admission& admission) {
   const std::string why =
       "requests with prompt part " + admission.part + " crash engines";
