--- a/packages/relay/src/relay/prompt_quarantine.cc
+++ b/packages/relay/src/relay/prompt_quarantine.cc
@@ -268,12 +268,11 @@
 void PromptQuarantine::RecordStart(std::span<const std::string> parts,
                                    TimePoint now) {
   bool cleared = false;
-  for (const auto& part :
-       parts.first(std::min(parts.size(), kMaxPartsPerRequest))) {
-    if (!IsValidId(part)) {
-      continue;
+  std::size_t touched = 0;
+  for (const auto& part : parts) {
+    if (IsValidId(part) && touched++ < kMaxPartsPerRequest) {
+      this->TouchStart(part, now);
     }
-    this->TouchStart(part, now);
     const auto found = this->records.find(part);
     if (found != this->records.end() && !found->second.crashes.empty()) {
       Clear(found->second, now);
--- a/packages/relay/src/relay/prompt_quarantine.h
+++ b/packages/relay/src/relay/prompt_quarantine.h
@@ -88,14 +88,17 @@
 /// Finds the prompt parts that crash engines and keeps requests with them away
 /// from engines.
 ///
-/// A crash leaves every part suspect that a request had which waited on the
-/// engine for its first event. A response that begins clears all parts of its
-/// request, so parts that many requests share stay suspect for milliseconds.
-/// Suspect parts are tried by one request at a time (group testing after
-/// Dorfman, "The detection of defective members of large populations", Annals
-/// of Mathematical Statistics 14, 1943): if the engine crashes again, the part
-/// is quarantined, otherwise cleared. Engines that crash at the same time, for
-/// example with their rack, therefore count once.
+/// When an engine crashes, all parts of the requests that waited there for
+/// their first event become suspect. A response that begins clears all parts of
+/// its request, so parts that many requests share stay suspect for
+/// milliseconds. Suspect parts are tried by one request at a time (group
+/// testing after Dorfman, "The detection of defective members of large
+/// populations", Annals of Mathematical Statistics 14, 1943): if the engine
+/// crashes again, the part is quarantined, otherwise cleared. Engines that
+/// crash at the same time, for example with their rack, therefore count once. A
+/// part with which a response has begun shortly before is trusted: it is not
+/// tried one at a time before its second crash, and quarantined after its
+/// third.
 ///
 /// Parts that waited on exactly the same crashed engines cannot be told apart.
 /// Only requests with all of them are rejected then, and requests with some of
@@ -115,8 +118,8 @@
 
   /// Time after which a trial without an outcome no longer holds up others.
   static constexpr Duration kTrialTimeout = std::chrono::milliseconds(1000);
-  /// Time before a crash in which a response has begun if the part counts as
-  /// sound until a second crash.
+  /// A part is trusted if a response to a request with it has begun within this
+  /// time before its first crash.
   static constexpr Duration kTrustTime = std::chrono::seconds(10);
   /// Time after its last crash at which a part that is not quarantined is no
   /// longer suspect.
@@ -213,8 +216,8 @@
   /// The crashes of a part that no group explains yet.
   static std::vector<PartCrash> Unexplained(
       const Record& record, const std::set<std::uint64_t>& explained);
-  /// Whether responses to requests with the part have begun shortly before its
-  /// first crash.
+  /// Whether a response to a request with the part has begun within kTrustTime
+  /// before its first crash.
   static bool IsTrusted(const Record& record);
   /// Whether requests with the part are sent one at a time. Those of a trusted
   /// part are not until its second crash: others of its requests, which are
--- a/packages/relay/tests/relay/prompt_quarantine_test.cc
+++ b/packages/relay/tests/relay/prompt_quarantine_test.cc
@@ -352,6 +352,21 @@
   CHECK(MakePartId("a b") != MakePartId("a-b"));
 }
 
+TEST_CASE("A response clears all parts of a long prompt",
+          "[relay][quarantine]") {
+  PromptQuarantine quarantine;
+  Parts parts;
+  for (int index = 0; index < 100; ++index) {
+    parts.push_back("p" + std::to_string(index));
+  }
+  for (int round = 0; round < 4; ++round) {
+    const int ms = 1000 * round;
+    Crash(quarantine, static_cast<std::uint64_t>(round), parts, ms + 100);
+    quarantine.RecordStart(parts, At(ms + 300));
+    CHECK(Decide(quarantine, parts, ms + 300) == AdmissionDecision::kSend);
+  }
+}
+
 TEST_CASE("Old suspicions and quarantines end", "[relay][quarantine]") {
   PromptQuarantine quarantine;
   Crash(quarantine, 1, {"rare"}, 100);
