Don't take an unframed stream without events for a complete one

Callers saw: a complete, empty stream, where the server had crashed. A stream may come with neither a length nor chunks and end with its connection.

Cause: the end of the connection counted as the end of the response, although a server that crashes before its first event closes the connection as well. The quarantine of prompt parts took it for a sound response, too.

Evidence: both tests failed before: the stream was not sent elsewhere, and the crash made no part suspect.

Change: an unframed stream that ends before its first event has broken off: it is sent elsewhere, and the server is probed for a crash.

--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -104,6 +104,9 @@
   void RejectPrompt(const Admission& admission);
   /// Registers the request as pending with the quarantine.
   void TrackPrompt();
+  /// Reports that the server broke off the response before it had begun, which
+  /// a part of the prompt can have caused.
+  void ProbeForCrash();
   /// Ends the request because a part of its prompt was quarantined.
   void HandlePromptQuarantined();
   /// A response has begun, which shows that the prompt crashes no engine.
--- a/packages/relay/src/relay/exchange_quarantine.cc
+++ b/packages/relay/src/relay/exchange_quarantine.cc
@@ -105,6 +105,13 @@
       });
 }
 
+void Exchange::ProbeForCrash() {
+  if (this->IsPromptUnproven()) {
+    this->relay.crash_probe.ReportBroken(
+        this->server, this->metadata.shared_parts, this->try_started_at);
+  }
+}
+
 void Exchange::HandlePromptQuarantined() {
   // The engine drops the request when its connection closes, before it begins
   // to write the response that would crash it.
--- a/packages/relay/src/relay/exchange_responses.cc
+++ b/packages/relay/src/relay/exchange_responses.cc
@@ -22,6 +22,14 @@
 /// sent the first one when it crashes.
 constexpr int kEventsOfSoundPrompt = 2;
 
+/// Whether the end of the body is the end of the connection, so that a response
+/// that broke off can look complete.
+bool IsUnframed(const ResponseHead& head) {
+  namespace beast_http = boost::beast::http;
+  return head.headers.count(beast_http::field::content_length) == 0 &&
+         head.headers.count(beast_http::field::transfer_encoding) == 0;
+}
+
 }  // namespace
 
 void Exchange::OnServerMetadata(unsigned status,
@@ -239,7 +247,7 @@
     this->CompleteStream();
     return;
   }
-  if (IsSuccess(this->head->status)) {
+  if (IsSuccess(this->head->status) && !IsUnframed(*this->head)) {
     this->RecordPromptStart();
   }
   this->EndTry(this->head->status < kFirstServerError);
@@ -256,12 +264,23 @@
 }
 
 void Exchange::CompleteStream() {
+  const bool unframed = IsUnframed(*this->head);
+  const char* broken = nullptr;
   if (this->splitter.partial_bytes() > 0) {
+    broken = "the stream ended inside of an event";
+  } else if (unframed && !this->try_has_events) {
+    // A server that stops before its first event closes the connection too.
+    broken = "the stream ended before its first event";
+  }
+  if (broken != nullptr) {
     this->EndTry(false);
-    this->HandleFailedTry(true, "the stream ended inside of an event");
+    this->ProbeForCrash();
+    this->HandleFailedTry(true, broken);
     return;
   }
-  this->RecordPromptStart();
+  if (!unframed) {
+    this->RecordPromptStart();
+  }
   this->EndTry(true);
   this->BeginResponse();
   this->sink.Write(kLastChunk);
@@ -309,9 +328,8 @@
        {"begun", this->try_has_events ? "true" : "false"},
        {"parts", FormatParts(this->metadata.shared_parts)},
        {"tries", std::to_string(this->tries)}});
-  if (failure.may_have_run && this->IsPromptUnproven()) {
-    this->relay.crash_probe.ReportBroken(target, this->metadata.shared_parts,
-                                         this->try_started_at);
+  if (failure.may_have_run) {
+    this->ProbeForCrash();
   }
   if (!failure.was_reused) {
     if (this->chain && failure.may_have_run) {
--- a/packages/relay/tests/relay/crashing_engine_test.cc
+++ b/packages/relay/tests/relay/crashing_engine_test.cc
@@ -152,6 +152,18 @@
   CHECK(harness.Receives(sound, "data: b"));
 }
 
+TEST_CASE("An engine that crashes after the head of an unframed stream counts",
+          "[relay][quarantine]") {
+  EngineHarness harness;
+  harness.Send("bad");
+  ScriptedServer& first = harness.Receiver(1);
+  first.last().channel->Write(
+      "HTTP/1.1 200 OK\r\nAttempt: a1\r\nSignature: s\r\n\r\n");
+  harness.Pause(50);
+  first.Crash();
+  CHECK(harness.IsSuspect("bad", 1));
+}
+
 TEST_CASE("A live engine that breaks connections makes no prompt part suspect",
           "[relay][quarantine]") {
   EngineHarness harness;
--- a/packages/relay/tests/relay/exchange_test.cc
+++ b/packages/relay/tests/relay/exchange_test.cc
@@ -17,6 +17,11 @@
          "\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
+/// Head of a stream whose end is the end of the connection.
+std::string UnframedHead() {
+  return "HTTP/1.1 200 OK\r\nAttempt: a1\r\nSignature: first\r\n\r\n";
+}
+
 std::string Chunk(const std::string& bytes) {
   char size[16];
   std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
@@ -356,6 +361,48 @@
   CHECK(Has(caller, "id: 6\ndata: b\n\n\r\n"));
 }
 
+TEST_CASE("A stream without length and chunks ends with its connection",
+          "[relay][exchange][streams]") {
+  RelayHarness harness;
+  harness.Configure({StreamRoute()});
+  auto& server = harness.AddServer("s1");
+  Peer& caller = harness.Call(RelayHarness::Request("/s/x"));
+  REQUIRE(harness.Gets(server, 1));
+  server.last().channel->Write(UnframedHead() + "id: 1\ndata: a\n\n");
+  REQUIRE(harness.Receives(caller, "data: a"));
+  server.last().channel->Close();
+  CHECK(harness.Receives(caller, "0\r\n\r\n"));
+}
+
+TEST_CASE("A stream without length and chunks can break off",
+          "[relay][exchange][streams]") {
+  RelayHarness harness;
+  harness.Configure({StreamRoute()});
+  harness.AddServer("s1");
+  harness.AddServer("s2");
+  Peer& caller = harness.Call(RelayHarness::Request("/s/x"));
+  const ServerPair pair = FindReceiver(harness);
+  Peer& sender = pair.receiver->last();
+  std::string last_event;
+  SECTION("inside of an event") {
+    sender.channel->Write(UnframedHead() + "id: 1\ndata: a\n\nid: 2\nda");
+    REQUIRE(harness.Receives(caller, "data: a"));
+    last_event = "Last: 1";
+  }
+  SECTION("before its first event") {
+    sender.channel->Write(UnframedHead());
+    harness.runtime.Settle();
+  }
+  sender.channel->Close();
+  REQUIRE(harness.Gets(*pair.other, 1));
+  CHECK(Has(pair.other->last(), last_event));
+  CHECK_FALSE(Has(caller, "0\r\n\r\n"));
+  pair.other->last().channel->Write(EventsHead("second") +
+                                    Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+  CHECK(harness.Receives(caller, "data: b"));
+  CHECK(harness.Receives(caller, "0\r\n\r\n"));
+}
+
 TEST_CASE("A stream that cannot be completed does not look complete",
           "[relay][exchange][streams]") {
   RelayHarness harness;
