Log when the configuration was last compared with the store

Cause: the logs say when a version comes into force, but not how old the last comparison with the store is, that a read failed, or why it was made. The hypotheses about the late configuration can't be told apart from them. A read after a peer's report dropped its error without a log line.

Change: event 7016 configuration_compared (version, revision and age, every 10 s), event 7017 configuration_read_failed (cause, error and time waited), `cause` in 6008, `configuration_age_ms` in 7001, and gauges of the version and its age. No decision has changed.

--- a/packages/foundation/src/foundation/event.cc
+++ b/packages/foundation/src/foundation/event.cc
@@ -165,6 +165,16 @@
         Severity::kWarning,
         "A change of the quarantined prompt parts could not be written to "
         "the table, or they could not be read; tried again."},
+    EventInfo{
+        EventId::kConfigurationCompared, "configuration_compared",
+        Severity::kInfo,
+        "Recorded regularly: the configuration version in use and the time "
+        "since it was last compared with the store (`age_ms`)."},
+    EventInfo{
+        EventId::kConfigurationReadFailed, "configuration_read_failed",
+        Severity::kWarning,
+        "A read of the configuration failed; `cause` says why it was made, "
+        "`waited_ms` how long it took. Tried again."},
 };
 
 }  // namespace
--- a/packages/foundation/src/foundation/event.h
+++ b/packages/foundation/src/foundation/event.h
@@ -84,6 +84,8 @@
   kPromptPartQuarantined = 7013,
   kPromptPartReleased = 7014,
   kQuarantineNotStored = 7015,
+  kConfigurationCompared = 7016,
+  kConfigurationReadFailed = 7017,
 };
 
 /// Catalogue entry of an event.
--- a/packages/relay/src/relay/entry_daemon.cc
+++ b/packages/relay/src/relay/entry_daemon.cc
@@ -200,6 +200,7 @@
       this->relay.pool.Expire();
       this->relay.servers.Expire(this->clock.Now());
       this->relay.quarantine.Expire(this->clock.Now());
+      this->watcher.RecordConfigurationState();
       this->events.ReportSuppressed();
       if (this->watcher.is_isolated() && this->gossip.has_peers()) {
         // A failure has been logged and is tried again in the next round.
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -384,6 +384,8 @@
             ? ""
             : std::to_string(
                   this->active_configuration->configuration.version)},
+       {"configuration_age_ms",
+        FormatMillis(now - this->relay.configuration_verified_at)},
        {"outcome", std::string(outcome)},
        {"why", std::string(why)},
        {"server", this->server == nullptr ? "" : this->server->record.id},
--- a/packages/relay/src/relay/relay.h
+++ b/packages/relay/src/relay/relay.h
@@ -63,6 +63,9 @@
   std::mt19937_64 random;
   /// Null until the first configuration has been read.
   std::shared_ptr<const ActiveConfiguration> active_configuration;
+  /// Latest time at which the active configuration was known to equal the one
+  /// in the store.
+  TimePoint configuration_verified_at{};
   double processes_in_zone = 1;  ///< Processes of this zone, this one included.
   /// False while the load of at least one other zone is unknown. Always true in
   /// small deployments, where all processes report to each other.
--- a/packages/relay/src/relay/relay_metrics.cc
+++ b/packages/relay/src/relay/relay_metrics.cc
@@ -29,6 +29,7 @@
   std::map<std::string, std::map<std::string, std::uint64_t, std::less<>>,
            std::less<>>
       counters;
+  std::map<std::string, double, std::less<>> gauges;
   std::map<std::string, Latency, std::less<>> latencies;
 };
 
@@ -59,6 +60,10 @@
   ++found->second.count;
 }
 
+void RelayMetrics::SetGauge(std::string_view name, double value) {
+  this->state->gauges.insert_or_assign(std::string(name), value);
+}
+
 std::string RelayMetrics::Text() const {
   std::string text;
   for (const auto& [name, series] : this->state->counters) {
@@ -68,6 +73,10 @@
           name + "{outcome=\"" + label + "\"} " + std::to_string(value) + "\n";
     }
   }
+  for (const auto& [name, value] : this->state->gauges) {
+    text += "# TYPE " + name + " gauge\n" + name + " " +
+            std::to_string(value) + "\n";
+  }
   for (const auto& [name, latency] : this->state->latencies) {
     text += "# TYPE " + name + " histogram\n";
     std::uint64_t cumulative = 0;
--- a/packages/relay/src/relay/relay_metrics.h
+++ b/packages/relay/src/relay/relay_metrics.h
@@ -11,7 +11,7 @@
 
 namespace qp::relay {
 
-/// Counters and latency histograms of the relay in the Prometheus text format.
+/// Counters, gauges and latency histograms of the relay in the Prometheus text format.
 /// Used on the request thread only.
 class RelayMetrics {
  public:
@@ -22,7 +22,9 @@
   void Count(std::string_view name, std::string_view label);
   /// Adds `elapsed` in seconds to histogram `name`.
   void Observe(std::string_view name, Duration elapsed);
-  /// Returns all counters and histograms in the Prometheus text format.
+  /// Sets the gauge `name`.
+  void SetGauge(std::string_view name, double value);
+  /// Returns all counters, gauges and histograms in the Prometheus text format.
   std::string Text() const;
 
  private:
--- a/packages/relay/src/relay/store_watcher.cc
+++ b/packages/relay/src/relay/store_watcher.cc
@@ -94,7 +94,7 @@
   const auto jitter = std::uniform_int_distribution<Duration::rep>(
       0, kStaleJitter.count())(this->relay.random);
   while (this->SharesConfigurationPolling()) {
-    const TimePoint due = this->configuration_verified_at +
+    const TimePoint due = this->relay.configuration_verified_at +
                           kMaxConfigurationAge + Duration(jitter);
     const TimePoint now = this->clock.Now();
     if (now >= due) {
@@ -105,26 +105,63 @@
 }
 
 Task<Duration> StoreWatcher::PollConfiguration() {
+  const TimePoint began = this->clock.Now();
   const auto snapshot = co_await this->FetchConfiguration();
   if (!snapshot) {
+    this->LogFailedRead(snapshot.error(), began, "poll");
     if (snapshot.error().code == ErrorCode::kNotFound) {
       this->configuration_revision.reset();
     }
     co_return this->RecordFailure(snapshot.error());
   }
   this->RecordSuccess();
-  this->ApplyConfiguration(snapshot.value());
+  this->ApplyConfiguration(snapshot.value(), "poll");
   this->configuration_revision = snapshot.value().revision;
   // The store holds a call only while nothing has changed, so its response is
   // current.
-  this->configuration_verified_at = this->clock.Now();
+  this->relay.configuration_verified_at = this->clock.Now();
   if (this->SharesConfigurationPolling() && this->on_servers_polled) {
     this->on_servers_polled();
   }
   co_return Duration{0};
 }
 
-void StoreWatcher::ApplyConfiguration(const ConfigurationSnapshot& snapshot) {
+void StoreWatcher::LogFailedRead(const Error& error, TimePoint began,
+                                 std::string_view cause) {
+  this->relay.events.Record(
+      EventId::kConfigurationReadFailed,
+      {{"cause", std::string(cause)},
+       {"step", error.step},
+       {"detail", error.detail},
+       {"waited_ms", std::to_string(AgeMillis(this->clock.Now(), began))}});
+}
+
+void StoreWatcher::RecordConfigurationState() {
+  if (this->relay.active_configuration == nullptr) {
+    return;
+  }
+  const TimePoint now = this->clock.Now();
+  const std::uint64_t version =
+      this->relay.active_configuration->configuration.version;
+  const auto age_ms = AgeMillis(now, this->relay.configuration_verified_at);
+  this->relay.metrics.SetGauge("quetzalpost_configuration_version",
+                               static_cast<double>(version));
+  this->relay.metrics.SetGauge("quetzalpost_configuration_age_seconds",
+                               age_ms / 1000.0);
+  if (this->state_logged_at &&
+      now - *this->state_logged_at < kStateLogInterval) {
+    return;
+  }
+  this->state_logged_at = now;
+  this->relay.events.Record(
+      EventId::kConfigurationCompared,
+      {{"version", std::to_string(version)},
+       {"revision", std::to_string(this->configuration_revision.value_or(0))},
+       {"age_ms", std::to_string(age_ms)}});
+}
+
+void StoreWatcher::ApplyConfiguration(const ConfigurationSnapshot& snapshot,
+                                      std::string_view cause) {
   if (!snapshot.unreadable.empty()) {
     this->relay.events.Record(
         EventId::kRelayEntryUnreadable,
@@ -145,7 +182,8 @@
       EventId::kConfigurationInForce,
       {{"version", std::to_string(snapshot.configuration->version)},
        {"revision", std::to_string(snapshot.revision)},
-       {"routes", std::to_string(snapshot.configuration->routes.size())}});
+       {"routes", std::to_string(snapshot.configuration->routes.size())},
+       {"cause", std::string(cause)}});
   if (this->on_change) {
     this->on_change();
   }
@@ -192,13 +230,16 @@
 }
 
 Task<void> StoreWatcher::CatchUpConfiguration() {
+  const TimePoint began = this->clock.Now();
   const auto snapshot = co_await this->store.ReadConfiguration();
-  if (snapshot) {
-    this->ApplyConfiguration(snapshot.value());
-    this->configuration_verified_at = this->clock.Now();
-    this->configuration_revision = std::max(
-        this->configuration_revision.value_or(0), snapshot.value().revision);
+  if (!snapshot) {
+    this->LogFailedRead(snapshot.error(), began, "peer_report");
+    co_return;
   }
+  this->ApplyConfiguration(snapshot.value(), "peer_report");
+  this->relay.configuration_verified_at = this->clock.Now();
+  this->configuration_revision = std::max(
+      this->configuration_revision.value_or(0), snapshot.value().revision);
 }
 
 Task<Duration> StoreWatcher::PollServers() {
@@ -268,7 +309,7 @@
         this->relay.active_configuration->configuration.version;
   }
   this->node = report.node;
-  report.configuration_age_ms = AgeMillis(now, this->configuration_verified_at);
+  report.configuration_age_ms = AgeMillis(now, this->relay.configuration_verified_at);
   report.reads_configuration = this->reads_configuration;
   report.server_revision = this->applied_server_revision;
   report.server_age_ms = AgeMillis(now, this->servers_verified_at);
@@ -297,8 +338,8 @@
                    asio::detached);
   }
   if (report.configuration_version == version) {
-    this->configuration_verified_at =
-        std::max(this->configuration_verified_at,
+    this->relay.configuration_verified_at =
+        std::max(this->relay.configuration_verified_at,
                  now - std::chrono::milliseconds(report.configuration_age_ms));
   }
   // If several processes of the zone poll the configuration, only the one with
--- a/packages/relay/src/relay/store_watcher.h
+++ b/packages/relay/src/relay/store_watcher.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "relay/deployment_store.h"
 #include "relay/load_gossip.h"
@@ -108,6 +109,9 @@
   static constexpr Duration kSharedCatchUpInterval =
       std::chrono::milliseconds(1000);
 
+  /// Time between two log lines about the configuration in use.
+  static constexpr Duration kStateLogInterval = std::chrono::seconds(10);
+
   StoreWatcher(RelayContext& relay, Clock& clock, DeploymentStore& store);
 
   /// Polls the configuration until the process ends.
@@ -127,6 +131,10 @@
   /// Adds to `report` what this process has read from the store.
   void FillReport(LoadReport& report);
 
+  /// Sets the gauges of the configuration, and records its version and age in
+  /// the log once per kStateLogInterval.
+  void RecordConfigurationState();
+
   /// Whether the server list has been read at least once.
   bool has_servers() const { return this->servers_known; }
   /// Whether no peer has reported for kPeerTimeout.
@@ -165,7 +173,12 @@
   /// Whether `entry` differs from the server list in use.
   bool IsChange(const ServerEntry& entry) const;
   Task<Result<ServerListUpdate>> FetchServers();
-  void ApplyConfiguration(const ConfigurationSnapshot& snapshot);
+  /// `cause`: why the configuration was read.
+  void ApplyConfiguration(const ConfigurationSnapshot& snapshot,
+                          std::string_view cause);
+  /// Logs that a read of the configuration that began at `began` has failed.
+  void LogFailedRead(const Error& error, TimePoint began,
+                     std::string_view cause);
   /// `is_full`: `list_update` contains all servers, so that servers missing
   /// from it are removed.
   void ApplyServers(const ServerListUpdate& list_update, bool is_full);
@@ -202,12 +215,11 @@
   std::optional<TimePoint> last_peer_report_at;
   /// Latest time at which a peer read the server list from the store.
   TimePoint peer_read_store_at{};
-  /// Latest time at which the active configuration was known to equal the one
-  /// in the store.
-  TimePoint configuration_verified_at{};
   /// Whether this process polls the configuration for its zone.
   bool reads_configuration = false;
   std::string node;  ///< Name of this process in reports.
+  /// Time of the last log line about the configuration in use.
+  std::optional<TimePoint> state_logged_at;
   /// Time of the last read caused by a peer's newer configuration version.
   std::optional<TimePoint> last_catch_up_at;
   /// Server list updates read by this process, with the time of the read.
