Close the idle connections to an address after a timeout

Cause: open connections can fall silent together. The client closed the one that timed out, but reused the other idle ones to the same address, so each of the next calls to the store or to an engine lost its whole timeout too.

Change: after a timeout on a reused connection all idle connections to the address are closed. The next call opens a new one.

Test: "After a timeout no other idle connection to the address is reused".

--- a/packages/http/src/http/client.cc
+++ b/packages/http/src/http/client.cc
@@ -287,6 +287,10 @@
     connection->watchdog.Restart(timeout);
     auto response = co_await Exchange(*connection, address, request);
     const bool expired = connection->watchdog.expired();
+    if (expired) {
+      // What silenced this connection can have silenced the others too.
+      shared_state->idle_by_address.erase(address);
+    }
     if (response) {
       if (response.value().keep_alive() && request.keep_alive()) {
         shared_state->Release(address, std::move(connection));
--- a/packages/http/src/http/client.h
+++ b/packages/http/src/http/client.h
@@ -35,7 +35,8 @@
 enum class Connection { kReuse, kFresh };
 
 /// HTTP/1.1 client that pools idle connections for each address. A connection
-/// that failed or timed out is closed and not reused. The same holds for a
+/// that failed or timed out is closed and not reused; after a timeout the idle
+/// connections to the same address are closed too. The same holds for a
 /// request or a response with "Connection: close"; the request's header applies
 /// even if the response allows keep-alive.
 ///
--- a/packages/http/tests/http/exchange_test.cc
+++ b/packages/http/tests/http/exchange_test.cc
@@ -1,6 +1,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <tuple>
+#include <vector>
 
 #include "foundation/wait.h"
 #include "http/client.h"
@@ -144,6 +146,49 @@
                     : boost::system::error_code(qp::asio::error::eof)));
 }
 
+// Guards against calls that fail one after the other, each on a connection that
+// fell silent together with the others.
+TEST_CASE("After a timeout no other idle connection to the address is reused",
+          "[http]") {
+  Fixture fixture;
+  qp::asio::ip::tcp::acceptor acceptor(
+      fixture.runtime.io(), {qp::asio::ip::address_v4::loopback(), 0});
+  fixture.address =
+      "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  std::vector<qp::asio::ip::tcp::socket> accepted;
+  const std::string response_text =
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  std::function<void()> accept = [&] {
+    acceptor.async_accept([&](boost::system::error_code failure,
+                              qp::asio::ip::tcp::socket socket) {
+      if (failure) {
+        return;
+      }
+      accepted.push_back(std::move(socket));
+      accepted.back().send(qp::asio::buffer(response_text));
+      accept();
+    });
+  };
+  accept();
+  const auto send = [&fixture](qp::http::Connection connection) {
+    return fixture.runtime.RunFor(
+        fixture.client.Send(fixture.address,
+                            qp::http::MakeRequest(qp::http::Verb::get, "/", ""),
+                            1s, connection),
+        2s);
+  };
+  send(qp::http::Connection::kFresh);
+  send(qp::http::Connection::kFresh);
+  REQUIRE(accepted.size() == 2);
+  // Both idle connections are silent from here on; new ones are answered.
+  const auto first = send(qp::http::Connection::kReuse);
+  REQUIRE(first.has_value());
+  CHECK_FALSE(first->has_value());
+  const auto second = send(qp::http::Connection::kReuse);
+  REQUIRE(second.has_value());
+  CHECK(second->has_value());
+}
+
 TEST_CASE("A refused connection reports that nothing was sent", "[http]") {
   Fixture fixture;
   fixture.server.Stop();
