Bring a configuration change into force within a bound

Callers saw requests handled by an older version, or a 404 for an added route, long after the store had acknowledged the change.

Cause: a process learned of a change only from its long poll or from a peer's report. A long poll whose connection had fallen silent was held for 9.5 s, and nothing else bounded the age of the configuration in use. When the connections of all processes fell silent, no peer knew either. The class of fault: a subscription is taken for alive as long as it does not fail. Found beside it: an answer from an older state counted as a comparison, also for peers; a process that starts served with the first answer, however old; a version that could not be read counted as read.

Proofs are dated by what the store can have seen. An answer with a revision lower than one known before the call proves nothing. A process serves and is ready once a version is confirmed that is no older than its peers'. The bound is a setting, configuration_bound_ms.

Ruled out: shorter long polls (each process pays, and silence still costs a timeout); shorter timeouts (a slow store answers after 400 ms).

--- a/packages/relay/src/relay/deployment_store.h
+++ b/packages/relay/src/relay/deployment_store.h
@@ -54,6 +54,11 @@
   /// result after `wait`.
   virtual Task<Result<ConfigurationSnapshot>> WatchConfiguration(
       std::uint64_t revision, Duration wait) = 0;
+  /// Returns the changes after `revision`, or an empty result at once. Like
+  /// ReadConfiguration, uses a new connection, since one that is already open
+  /// can have failed silently.
+  virtual Task<Result<ConfigurationSnapshot>> CompareConfiguration(
+      std::uint64_t revision) = 0;
   virtual Task<Result<ServerListUpdate>> ReadServers() = 0;
   /// Returns the changes after `revision` as soon as there are any, or an empty
   /// result after `wait`.
--- a/packages/relay/src/relay/entry_daemon.cc
+++ b/packages/relay/src/relay/entry_daemon.cc
@@ -98,6 +98,8 @@
         metrics(context, time, http::ServerLimits{}, status) {
     this->relay.engines = services.engines;
     this->relay.response_limits = this->settings.response_limits;
+    this->relay.configuration_freshness.SetBound(
+        this->settings.configuration_bound);
     services.engines->SetLeavingListener(this->leaving_handler);
     this->relay.quarantine.SetListener(this);
     this->watcher.on_change = [this] { this->LogReadiness(); };
@@ -105,8 +107,7 @@
   }
 
   bool IsReady() const {
-    return !this->relay.draining &&
-           this->relay.active_configuration != nullptr &&
+    return !this->relay.draining && this->watcher.has_configuration() &&
            this->watcher.has_servers() && this->quarantine_store.loaded();
   }
 
@@ -278,6 +279,7 @@
                       {"availability_zone", self.settings.availability_zone},
                       {"caller_address", self.settings.caller_address}});
   self.Spawn(self.watcher.WatchConfiguration());
+  self.Spawn(self.watcher.KeepConfigurationCurrent());
   self.Spawn(self.watcher.WatchServers());
   self.Spawn(self.HoldLease());
   self.Spawn(self.controller.Run());
@@ -292,6 +294,7 @@
   State& self = *this->state;
   self.settings.grace_period = settings.grace_period;
   self.relay.retry_budget.SetLimits(settings.retry);
+  self.relay.configuration_freshness.SetBound(settings.configuration_bound);
   self.events.Record(EventId::kSettingsReloaded, {});
 }
 
--- a/packages/relay/src/relay/entry_settings.cc
+++ b/packages/relay/src/relay/entry_settings.cc
@@ -13,6 +13,9 @@
 
 /// Maximum of a duration in the settings, in milliseconds.
 constexpr double kMaxDurationMs = 600'000;
+/// Shortest bound on the age of the configuration, in milliseconds: a call to
+/// the store takes up to 400 ms during a disruption.
+constexpr double kMinConfigurationBoundMs = 500;
 /// Range of a limit on responses, in bytes; it catches mistaken units. Heads of
 /// normal responses fit into the minimum. A few requests that use the maximum
 /// fill the memory of a small VM.
@@ -91,6 +94,10 @@
   });
   settings.grace_period =
       FromMillis(reader.Number("grace_period_ms", 0, kMaxDurationMs));
+  settings.configuration_bound = FromMillis(reader.NumberOr(
+      "configuration_bound_ms", kMinConfigurationBoundMs, kMaxDurationMs,
+      std::chrono::duration<double, std::milli>(kDefaultConfigurationBound)
+          .count()));
   ParseRetry(reader, settings.retry);
   ParseResponseLimits(reader, settings.response_limits);
   settings.log_level = ParseLogLevel(reader);
--- a/packages/relay/src/relay/entry_settings.h
+++ b/packages/relay/src/relay/entry_settings.h
@@ -5,6 +5,7 @@
 
 #include "foundation/clock.h"
 #include "foundation/error.h"
+#include "relay/configuration_freshness.h"
 #include "relay/response_limits.h"
 #include "relay/retry_budget.h"
 
@@ -21,6 +22,9 @@
   std::string store_address;
   /// Time from the start of a drain until the process is killed.
   Duration grace_period{};
+  /// Time from the store's acknowledgement of a configuration change until the
+  /// change must be in force at every process.
+  Duration configuration_bound = kDefaultConfigurationBound;
   RetryBudget::Limits retry;
   ResponseLimits response_limits;
   std::string log_level = "info";  ///< debug, info, warning or error.
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -66,9 +66,10 @@
 
 bool Exchange::Admit() {
   this->active_configuration = this->relay.active_configuration;
-  if (this->active_configuration == nullptr) {
+  if (this->active_configuration == nullptr ||
+      this->relay.configuration_unconfirmed) {
     this->SendLocalReply(
-        {503, "no configuration is known yet", milliseconds(500)});
+        {503, "no current configuration is known yet", milliseconds(500)});
     return false;
   }
   const auto& configuration = this->active_configuration->configuration;
@@ -385,7 +386,7 @@
             : std::to_string(
                   this->active_configuration->configuration.version)},
        {"configuration_age_ms",
-        FormatMillis(now - this->relay.configuration_verified_at)},
+        FormatMillis(now - this->relay.configuration_freshness.verified_at())},
        {"outcome", std::string(outcome)},
        {"why", std::string(why)},
        {"server", this->server == nullptr ? "" : this->server->record.id},
--- a/packages/relay/src/relay/relay.h
+++ b/packages/relay/src/relay/relay.h
@@ -8,6 +8,7 @@
 
 #include "foundation/asio.h"
 #include "foundation/event.h"
+#include "relay/configuration_freshness.h"
 #include "relay/crash_probe.h"
 #include "relay/deployment.h"
 #include "relay/deployment_store.h"
@@ -63,9 +64,10 @@
   std::mt19937_64 random;
   /// Null until the first configuration has been read.
   std::shared_ptr<const ActiveConfiguration> active_configuration;
-  /// Latest time at which the active configuration was known to equal the one
-  /// in the store.
-  TimePoint configuration_verified_at{};
+  ConfigurationFreshness configuration_freshness{kDefaultConfigurationBound};
+  /// Set while this process has only a configuration that can be older than the
+  /// one in the store: none has been confirmed since the process started.
+  bool configuration_unconfirmed = false;
   double processes_in_zone = 1;  ///< Processes of this zone, this one included.
   /// False while the load of at least one other zone is unknown. Always true in
   /// small deployments, where all processes report to each other.
--- a/packages/relay/src/relay/relay_metrics.cc
+++ b/packages/relay/src/relay/relay_metrics.cc
@@ -74,8 +74,8 @@
     }
   }
   for (const auto& [name, value] : this->state->gauges) {
-    text += "# TYPE " + name + " gauge\n" + name + " " +
-            std::to_string(value) + "\n";
+    text += "# TYPE " + name + " gauge\n" + name + " " + std::to_string(value) +
+            "\n";
   }
   for (const auto& [name, latency] : this->state->latencies) {
     text += "# TYPE " + name + " histogram\n";
--- a/packages/relay/src/relay/relay_metrics.h
+++ b/packages/relay/src/relay/relay_metrics.h
@@ -11,8 +11,8 @@
 
 namespace qp::relay {
 
-/// Counters, gauges and latency histograms of the relay in the Prometheus text format.
-/// Used on the request thread only.
+/// Counters, gauges and latency histograms of the relay in the Prometheus text
+/// format. Used on the request thread only.
 class RelayMetrics {
  public:
   RelayMetrics();
--- a/packages/relay/src/relay/store_watcher.cc
+++ b/packages/relay/src/relay/store_watcher.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "foundation/wait.h"
+#include "relay/age_millis.h"
 
 namespace qp::relay {
 
@@ -27,168 +28,18 @@
   entries = std::move(latest);
 }
 
-/// Returns the time since `since` in milliseconds, at most one hour.
-std::uint32_t AgeMillis(TimePoint now, TimePoint since) {
-  const Duration age = std::min<Duration>(now - since, std::chrono::hours(1));
-  return static_cast<std::uint32_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
-}
-
 }  // namespace
 
 StoreWatcher::StoreWatcher(RelayContext& context, Clock& time,
                            DeploymentStore& source)
     : relay(context), clock(time), store(source) {}
 
-Task<Result<ConfigurationSnapshot>> StoreWatcher::FetchConfiguration() {
-  return this->configuration_revision
-             ? this->store.WatchConfiguration(*this->configuration_revision,
-                                              this->ConfigurationWait())
-             : this->store.ReadConfiguration();
-}
-
-Duration StoreWatcher::ConfigurationWait() const {
-  if (!this->HasRecentPeerReport() ||
-      this->relay.active_configuration == nullptr) {
-    return kIsolatedConfigurationWait;
-  }
-  if (this->SharesConfigurationPolling()) {
-    return kSharedConfigurationWait;
-  }
-  const auto scaled = std::chrono::duration_cast<Duration>(
-      kConfigurationWaitPerProcess * this->relay.processes_in_zone);
-  return std::clamp(scaled, kConfigurationWait, kMaxConfigurationWait);
-}
-
-bool StoreWatcher::SharesConfigurationPolling() const {
-  return this->relay.active_configuration != nullptr &&
-         this->HasRecentPeerReport() &&
-         this->relay.processes_in_zone >= kMinProcessesForSharedPolling;
-}
-
-Duration StoreWatcher::CatchUpInterval() const {
-  return this->SharesConfigurationPolling() ? kSharedCatchUpInterval
-                                            : kCatchUpInterval;
-}
-
 Task<Result<ServerListUpdate>> StoreWatcher::FetchServers() {
   return this->server_revision
              ? this->store.WatchServers(*this->server_revision, Duration{0})
              : this->store.ReadServers();
 }
 
-Task<void> StoreWatcher::WatchConfiguration() {
-  while (true) {
-    if (!this->reads_configuration && this->SharesConfigurationPolling()) {
-      co_await this->WaitForStaleConfiguration();
-    }
-    this->reads_configuration = true;
-    const Duration pause = co_await this->PollConfiguration();
-    if (pause > Duration{0}) {
-      co_await this->WaitForRetry(pause);
-    }
-  }
-}
-
-Task<void> StoreWatcher::WaitForStaleConfiguration() {
-  const auto jitter = std::uniform_int_distribution<Duration::rep>(
-      0, kStaleJitter.count())(this->relay.random);
-  while (this->SharesConfigurationPolling()) {
-    const TimePoint due = this->relay.configuration_verified_at +
-                          kMaxConfigurationAge + Duration(jitter);
-    const TimePoint now = this->clock.Now();
-    if (now >= due) {
-      co_return;
-    }
-    co_await SleepFor(this->clock, due - now);
-  }
-}
-
-Task<Duration> StoreWatcher::PollConfiguration() {
-  const TimePoint began = this->clock.Now();
-  const auto snapshot = co_await this->FetchConfiguration();
-  if (!snapshot) {
-    this->LogFailedRead(snapshot.error(), began, "poll");
-    if (snapshot.error().code == ErrorCode::kNotFound) {
-      this->configuration_revision.reset();
-    }
-    co_return this->RecordFailure(snapshot.error());
-  }
-  this->RecordSuccess();
-  this->ApplyConfiguration(snapshot.value(), "poll");
-  this->configuration_revision = snapshot.value().revision;
-  // The store holds a call only while nothing has changed, so its response is
-  // current.
-  this->relay.configuration_verified_at = this->clock.Now();
-  if (this->SharesConfigurationPolling() && this->on_servers_polled) {
-    this->on_servers_polled();
-  }
-  co_return Duration{0};
-}
-
-void StoreWatcher::LogFailedRead(const Error& error, TimePoint began,
-                                 std::string_view cause) {
-  this->relay.events.Record(
-      EventId::kConfigurationReadFailed,
-      {{"cause", std::string(cause)},
-       {"step", error.step},
-       {"detail", error.detail},
-       {"waited_ms", std::to_string(AgeMillis(this->clock.Now(), began))}});
-}
-
-void StoreWatcher::RecordConfigurationState() {
-  if (this->relay.active_configuration == nullptr) {
-    return;
-  }
-  const TimePoint now = this->clock.Now();
-  const std::uint64_t version =
-      this->relay.active_configuration->configuration.version;
-  const auto age_ms = AgeMillis(now, this->relay.configuration_verified_at);
-  this->relay.metrics.SetGauge("quetzalpost_configuration_version",
-                               static_cast<double>(version));
-  this->relay.metrics.SetGauge("quetzalpost_configuration_age_seconds",
-                               age_ms / 1000.0);
-  if (this->state_logged_at &&
-      now - *this->state_logged_at < kStateLogInterval) {
-    return;
-  }
-  this->state_logged_at = now;
-  this->relay.events.Record(
-      EventId::kConfigurationCompared,
-      {{"version", std::to_string(version)},
-       {"revision", std::to_string(this->configuration_revision.value_or(0))},
-       {"age_ms", std::to_string(age_ms)}});
-}
-
-void StoreWatcher::ApplyConfiguration(const ConfigurationSnapshot& snapshot,
-                                      std::string_view cause) {
-  if (!snapshot.unreadable.empty()) {
-    this->relay.events.Record(
-        EventId::kRelayEntryUnreadable,
-        {{"entry", "configuration"}, {"detail", snapshot.unreadable}});
-  }
-  if (!snapshot.configuration) {
-    return;
-  }
-  const auto& active_configuration = this->relay.active_configuration;
-  if (active_configuration != nullptr &&
-      snapshot.configuration->version <=
-          active_configuration->configuration.version) {
-    return;
-  }
-  this->relay.active_configuration =
-      std::make_shared<const ActiveConfiguration>(*snapshot.configuration);
-  this->relay.events.Record(
-      EventId::kConfigurationInForce,
-      {{"version", std::to_string(snapshot.configuration->version)},
-       {"revision", std::to_string(snapshot.revision)},
-       {"routes", std::to_string(snapshot.configuration->routes.size())},
-       {"cause", std::string(cause)}});
-  if (this->on_change) {
-    this->on_change();
-  }
-}
-
 Task<void> StoreWatcher::WatchServers() {
   while (true) {
     const Duration pause = co_await this->PollServers();
@@ -229,19 +80,6 @@
   }
 }
 
-Task<void> StoreWatcher::CatchUpConfiguration() {
-  const TimePoint began = this->clock.Now();
-  const auto snapshot = co_await this->store.ReadConfiguration();
-  if (!snapshot) {
-    this->LogFailedRead(snapshot.error(), began, "peer_report");
-    co_return;
-  }
-  this->ApplyConfiguration(snapshot.value(), "peer_report");
-  this->relay.configuration_verified_at = this->clock.Now();
-  this->configuration_revision = std::max(
-      this->configuration_revision.value_or(0), snapshot.value().revision);
-}
-
 Task<Duration> StoreWatcher::PollServers() {
   const bool is_full = !this->server_revision.has_value();
   const std::uint64_t known_revision = this->server_revision.value_or(0);
@@ -270,6 +108,8 @@
     this->RecordOwnUpdate(known_revision, list_update.value());
   }
   this->ApplyServers(list_update.value(), is_full);
+  this->relay.configuration_freshness.RecordStoreRevision(
+      list_update.value().revision);
   this->server_revision = list_update.value().revision;
   this->applied_server_revision = list_update.value().revision;
   this->servers_verified_at = requested_at;
@@ -309,7 +149,8 @@
         this->relay.active_configuration->configuration.version;
   }
   this->node = report.node;
-  report.configuration_age_ms = AgeMillis(now, this->relay.configuration_verified_at);
+  report.configuration_age_ms =
+      AgeMillis(now, this->relay.configuration_freshness.verified_at());
   report.reads_configuration = this->reads_configuration;
   report.server_revision = this->applied_server_revision;
   report.server_age_ms = AgeMillis(now, this->servers_verified_at);
@@ -330,6 +171,8 @@
       this->relay.active_configuration == nullptr
           ? 0
           : this->relay.active_configuration->configuration.version;
+  ConfigurationFreshness& freshness = this->relay.configuration_freshness;
+  freshness.RecordPeerVersion(report.configuration_version, now);
   if (report.configuration_version > version &&
       (!this->last_catch_up_at ||
        now - *this->last_catch_up_at >= this->CatchUpInterval())) {
@@ -337,10 +180,10 @@
     asio::co_spawn(this->relay.io, this->CatchUpConfiguration(),
                    asio::detached);
   }
-  if (report.configuration_version == version) {
-    this->relay.configuration_verified_at =
-        std::max(this->relay.configuration_verified_at,
-                 now - std::chrono::milliseconds(report.configuration_age_ms));
+  if (version != 0 && report.configuration_version == version) {
+    freshness.RecordVerified(
+        now - std::chrono::milliseconds(report.configuration_age_ms));
+    this->UpdateConfirmed();
   }
   // If several processes of the zone poll the configuration, only the one with
   // the smallest name continues.
--- a/packages/relay/src/relay/store_watcher.h
+++ b/packages/relay/src/relay/store_watcher.h
@@ -16,7 +16,9 @@
 /// deployment's store.
 ///
 /// While the store does not answer, both keep their last state. A configuration
-/// is replaced only by one with a higher version.
+/// is replaced only by one with a higher version. A change is in force within
+/// the bound of ConfigurationFreshness, also if the long poll for changes fails
+/// silently.
 ///
 /// Processes share the server list that they have read: a process does not poll
 /// the store while its peers report recent polls (as in Trickle, RFC 6206), so
@@ -116,6 +118,10 @@
 
   /// Polls the configuration until the process ends.
   Task<void> WatchConfiguration();
+  /// Compares the configuration with the store until the process ends, whenever
+  /// neither a long poll nor a report of a peer has shown for some time that it
+  /// is current. See ConfigurationFreshness.
+  Task<void> KeepConfigurationCurrent();
   /// Polls the server list until the process ends.
   Task<void> WatchServers();
 
@@ -135,6 +141,8 @@
   /// the log once per kStateLogInterval.
   void RecordConfigurationState();
 
+  /// Whether the store has confirmed the configuration since the start.
+  bool has_configuration() const { return this->configuration_confirmed; }
   /// Whether the server list has been read at least once.
   bool has_servers() const { return this->servers_known; }
   /// Whether no peer has reported for kPeerTimeout.
@@ -148,7 +156,15 @@
   std::function<void()> on_servers_polled;
 
  private:
-  Task<Result<ConfigurationSnapshot>> FetchConfiguration();
+  /// A call to the store for the configuration.
+  struct ConfigurationRead {
+    TimePoint began{};
+    /// Newest revision of the store known when the call began. The store's
+    /// answers are linearizable, so an answer with a lower one is outdated.
+    std::uint64_t known_revision = 0;
+    std::string_view cause;  ///< Why the call is made, for the log.
+  };
+
   /// Timeout of the next long poll for a configuration change.
   Duration ConfigurationWait() const;
   /// Whether one process of the zone polls the configuration for all.
@@ -157,6 +173,19 @@
   /// kMaxConfigurationAge plus jitter, or until polling is no longer shared.
   Task<void> WaitForStaleConfiguration();
   Duration CatchUpInterval() const;
+  ConfigurationRead BeginRead(std::string_view cause) const;
+  /// Returns the pause until the next poll.
+  Duration HandleFailedRead(const Error& error, const ConfigurationRead& read);
+  /// Applies an answer of the store, and records that the configuration in use
+  /// was current at `as_of`. Returns false if the answer doesn't prove that.
+  bool AcceptConfiguration(const ConfigurationSnapshot& snapshot,
+                           const ConfigurationRead& read, TimePoint as_of);
+  /// Updates RelayContext::configuration_unconfirmed.
+  void UpdateConfirmed();
+  TimePoint ComparisonDue(double jitter) const;
+  Task<void> CompareConfiguration();
+  /// Pause after a comparison that failed or proved nothing.
+  Duration NextComparePause();
   /// Reads the configuration after a peer has reported a newer version.
   Task<void> CatchUpConfiguration();
   /// Waits until no process has read the server list for `age`.
@@ -176,9 +205,7 @@
   /// `cause`: why the configuration was read.
   void ApplyConfiguration(const ConfigurationSnapshot& snapshot,
                           std::string_view cause);
-  /// Logs that a read of the configuration that began at `began` has failed.
-  void LogFailedRead(const Error& error, TimePoint began,
-                     std::string_view cause);
+  void LogFailedRead(const Error& error, const ConfigurationRead& read);
   /// `is_full`: `list_update` contains all servers, so that servers missing
   /// from it are removed.
   void ApplyServers(const ServerListUpdate& list_update, bool is_full);
@@ -218,6 +245,13 @@
   /// Whether this process polls the configuration for its zone.
   bool reads_configuration = false;
   std::string node;  ///< Name of this process in reports.
+  /// Whether the store has confirmed the configuration since the start.
+  bool configuration_confirmed = false;
+  int pending_comparisons = 0;
+  /// Pause after the last comparison, before jitter; zero unless it failed.
+  Duration compare_backoff{};
+  /// End of the pause after a failed comparison.
+  TimePoint compare_not_before{};
   /// Time of the last log line about the configuration in use.
   std::optional<TimePoint> state_logged_at;
   /// Time of the last read caused by a peer's newer configuration version.
--- /dev/null
+++ b/packages/relay/src/relay/store_watcher_configuration.cc
@@ -0,0 +1,300 @@
+// How StoreWatcher keeps the configuration up to date.
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "foundation/wait.h"
+#include "relay/age_millis.h"
+#include "relay/store_watcher.h"
+
+namespace qp::relay {
+
+namespace {
+
+/// Pause after an answer that proves nothing: it shows an older state of the
+/// store than an earlier answer, or a version that can't be read.
+constexpr Duration kUnusableAnswerPause = std::chrono::milliseconds(500);
+/// Part of the longest pause after a failed comparison for each process of the
+/// zone.
+constexpr Duration kComparePausePerProcess = std::chrono::milliseconds(100);
+/// Comparisons that can wait for an answer at the same time.
+constexpr int kMaxPendingComparisons = 2;
+
+}  // namespace
+
+Duration StoreWatcher::ConfigurationWait() const {
+  if (!this->HasRecentPeerReport() ||
+      this->relay.active_configuration == nullptr) {
+    return kIsolatedConfigurationWait;
+  }
+  if (this->SharesConfigurationPolling()) {
+    return kSharedConfigurationWait;
+  }
+  const auto scaled = std::chrono::duration_cast<Duration>(
+      kConfigurationWaitPerProcess * this->relay.processes_in_zone);
+  return std::clamp(scaled, kConfigurationWait, kMaxConfigurationWait);
+}
+
+bool StoreWatcher::SharesConfigurationPolling() const {
+  return this->relay.active_configuration != nullptr &&
+         this->HasRecentPeerReport() &&
+         this->relay.processes_in_zone >= kMinProcessesForSharedPolling;
+}
+
+Duration StoreWatcher::CatchUpInterval() const {
+  return this->SharesConfigurationPolling() ? kSharedCatchUpInterval
+                                            : kCatchUpInterval;
+}
+
+Task<void> StoreWatcher::WatchConfiguration() {
+  while (true) {
+    if (!this->reads_configuration && this->SharesConfigurationPolling()) {
+      co_await this->WaitForStaleConfiguration();
+    }
+    this->reads_configuration = true;
+    const Duration pause = co_await this->PollConfiguration();
+    if (pause > Duration{0}) {
+      co_await this->WaitForRetry(pause);
+    }
+  }
+}
+
+Task<void> StoreWatcher::WaitForStaleConfiguration() {
+  const auto jitter = std::uniform_int_distribution<Duration::rep>(
+      0, kStaleJitter.count())(this->relay.random);
+  while (this->SharesConfigurationPolling()) {
+    const TimePoint due = this->relay.configuration_freshness.verified_at() +
+                          kMaxConfigurationAge + Duration(jitter);
+    const TimePoint now = this->clock.Now();
+    if (now >= due) {
+      co_return;
+    }
+    co_await SleepFor(this->clock, due - now);
+  }
+}
+
+Task<Duration> StoreWatcher::PollConfiguration() {
+  const ConfigurationRead read = this->BeginRead("poll");
+  const bool is_watch = this->configuration_revision.has_value();
+  const Duration wait = this->ConfigurationWait();
+  auto call = is_watch ? this->store.WatchConfiguration(
+                             *this->configuration_revision, wait)
+                       : this->store.ReadConfiguration();
+  const auto snapshot = co_await std::move(call);
+  if (!snapshot) {
+    co_return this->HandleFailedRead(snapshot.error(), read);
+  }
+  this->RecordSuccess();
+  const TimePoint as_of =
+      is_watch ? TimeOfPollAnswer(read.began, wait, this->clock.Now(),
+                                  snapshot.value().configuration.has_value())
+               : read.began;
+  if (!this->AcceptConfiguration(snapshot.value(), read, as_of)) {
+    co_return kUnusableAnswerPause;
+  }
+  if (this->SharesConfigurationPolling() && this->on_servers_polled) {
+    this->on_servers_polled();
+  }
+  co_return Duration{0};
+}
+
+StoreWatcher::ConfigurationRead StoreWatcher::BeginRead(
+    std::string_view cause) const {
+  return {this->clock.Now(),
+          this->relay.configuration_freshness.store_revision(), cause};
+}
+
+Duration StoreWatcher::HandleFailedRead(const Error& error,
+                                        const ConfigurationRead& read) {
+  this->LogFailedRead(error, read);
+  if (error.code == ErrorCode::kNotFound) {
+    this->configuration_revision.reset();
+  }
+  return this->RecordFailure(error);
+}
+
+bool StoreWatcher::AcceptConfiguration(const ConfigurationSnapshot& snapshot,
+                                       const ConfigurationRead& read,
+                                       TimePoint as_of) {
+  this->ApplyConfiguration(snapshot, read.cause);
+  if (!snapshot.configuration && !snapshot.unreadable.empty()) {
+    // The version is read again: a later answer can be readable.
+    this->configuration_revision.reset();
+    return false;
+  }
+  if (snapshot.revision < read.known_revision) {
+    this->LogFailedRead(
+        Error{ErrorCode::kProtocol, "configuration.compare", "",
+              "the answer shows revision " + std::to_string(snapshot.revision) +
+                  ", but " + std::to_string(read.known_revision) +
+                  " was known before the call"},
+        read);
+    return false;
+  }
+  ConfigurationFreshness& freshness = this->relay.configuration_freshness;
+  freshness.RecordStoreRevision(snapshot.revision);
+  this->configuration_revision =
+      std::max(this->configuration_revision.value_or(0), snapshot.revision);
+  freshness.RecordVerified(as_of);
+  this->UpdateConfirmed();
+  return true;
+}
+
+void StoreWatcher::UpdateConfirmed() {
+  const auto& active = this->relay.active_configuration;
+  if (active == nullptr || this->configuration_confirmed) {
+    return;
+  }
+  this->configuration_confirmed =
+      this->relay.configuration_freshness.IsConfirmed(
+          active->configuration.version);
+  this->relay.configuration_unconfirmed = !this->configuration_confirmed;
+  if (this->configuration_confirmed && this->on_change) {
+    this->on_change();
+  }
+}
+
+Task<void> StoreWatcher::KeepConfigurationCurrent() {
+  ConfigurationFreshness& freshness = this->relay.configuration_freshness;
+  while (true) {
+    const double jitter =
+        std::uniform_real_distribution<double>(0, 1)(this->relay.random);
+    while (this->relay.active_configuration == nullptr ||
+           this->clock.Now() < this->ComparisonDue(jitter)) {
+      const Duration pause =
+          this->relay.active_configuration == nullptr
+              ? freshness.RetryInterval()
+              : this->ComparisonDue(jitter) - this->clock.Now();
+      co_await SleepFor(this->clock, pause);
+    }
+    if (this->pending_comparisons < kMaxPendingComparisons) {
+      asio::co_spawn(this->relay.io, this->CompareConfiguration(),
+                     asio::detached);
+    }
+    co_await SleepFor(this->clock, freshness.RetryInterval());
+  }
+}
+
+TimePoint StoreWatcher::ComparisonDue(double jitter) const {
+  return std::max(this->relay.configuration_freshness.ComparisonDue(jitter),
+                  this->compare_not_before);
+}
+
+Task<void> StoreWatcher::CompareConfiguration() {
+  ++this->pending_comparisons;
+  const ConfigurationRead read = this->BeginRead("comparison");
+  auto call =
+      this->configuration_revision
+          ? this->store.CompareConfiguration(*this->configuration_revision)
+          : this->store.ReadConfiguration();
+  const auto snapshot = co_await std::move(call);
+  --this->pending_comparisons;
+  if (!snapshot) {
+    this->LogFailedRead(snapshot.error(), read);
+    if (snapshot.error().code == ErrorCode::kNotFound) {
+      this->configuration_revision.reset();
+      co_return;
+    }
+  }
+  if (!snapshot ||
+      !this->AcceptConfiguration(snapshot.value(), read, read.began)) {
+    this->compare_not_before = this->clock.Now() + this->NextComparePause();
+    co_return;
+  }
+  this->compare_backoff = Duration{0};
+  this->RecordSuccess();
+  if (this->on_servers_polled) {
+    this->on_servers_polled();
+  }
+}
+
+Duration StoreWatcher::NextComparePause() {
+  // The processes of a zone together make about ten calls a second.
+  const auto scaled = std::chrono::duration_cast<Duration>(
+      kComparePausePerProcess * this->relay.processes_in_zone);
+  this->compare_backoff =
+      std::clamp(this->compare_backoff * 2, kInitialBackoff,
+                 this->HasRecentPeerReport() ? std::max(kMaxBackoff, scaled)
+                                             : kMaxBackoff);
+  // Jitter keeps processes that failed together from retrying together.
+  const double jitter =
+      std::uniform_real_distribution<double>(0.75, 1.25)(this->relay.random);
+  return std::chrono::duration_cast<Duration>(this->compare_backoff * jitter);
+}
+
+void StoreWatcher::LogFailedRead(const Error& error,
+                                 const ConfigurationRead& read) {
+  this->relay.events.Record(
+      EventId::kConfigurationReadFailed,
+      {{"cause", std::string(read.cause)},
+       {"step", error.step},
+       {"detail", error.detail},
+       {"waited_ms",
+        std::to_string(AgeMillis(this->clock.Now(), read.began))}});
+}
+
+void StoreWatcher::RecordConfigurationState() {
+  if (this->relay.active_configuration == nullptr) {
+    return;
+  }
+  const TimePoint now = this->clock.Now();
+  const std::uint64_t version =
+      this->relay.active_configuration->configuration.version;
+  const auto age_ms =
+      AgeMillis(now, this->relay.configuration_freshness.verified_at());
+  this->relay.metrics.SetGauge("quetzalpost_configuration_version",
+                               static_cast<double>(version));
+  this->relay.metrics.SetGauge("quetzalpost_configuration_age_seconds",
+                               age_ms / 1000.0);
+  if (this->state_logged_at &&
+      now - *this->state_logged_at < kStateLogInterval) {
+    return;
+  }
+  this->state_logged_at = now;
+  this->relay.events.Record(
+      EventId::kConfigurationCompared,
+      {{"version", std::to_string(version)},
+       {"revision", std::to_string(this->configuration_revision.value_or(0))},
+       {"age_ms", std::to_string(age_ms)}});
+}
+
+void StoreWatcher::ApplyConfiguration(const ConfigurationSnapshot& snapshot,
+                                      std::string_view cause) {
+  if (!snapshot.unreadable.empty()) {
+    this->relay.events.Record(
+        EventId::kRelayEntryUnreadable,
+        {{"entry", "configuration"}, {"detail", snapshot.unreadable}});
+  }
+  if (!snapshot.configuration) {
+    return;
+  }
+  const auto& active_configuration = this->relay.active_configuration;
+  if (active_configuration != nullptr &&
+      snapshot.configuration->version <=
+          active_configuration->configuration.version) {
+    return;
+  }
+  this->relay.active_configuration =
+      std::make_shared<const ActiveConfiguration>(*snapshot.configuration);
+  this->relay.events.Record(
+      EventId::kConfigurationInForce,
+      {{"version", std::to_string(snapshot.configuration->version)},
+       {"revision", std::to_string(snapshot.revision)},
+       {"routes", std::to_string(snapshot.configuration->routes.size())},
+       {"cause", std::string(cause)}});
+  if (this->on_change) {
+    this->on_change();
+  }
+}
+
+Task<void> StoreWatcher::CatchUpConfiguration() {
+  const ConfigurationRead read = this->BeginRead("peer_report");
+  const auto snapshot = co_await this->store.ReadConfiguration();
+  if (!snapshot) {
+    this->LogFailedRead(snapshot.error(), read);
+    co_return;
+  }
+  this->AcceptConfiguration(snapshot.value(), read, read.began);
+}
+
+}  // namespace qp::relay
--- a/packages/relay/tests/relay/entry_settings_test.cc
+++ b/packages/relay/tests/relay/entry_settings_test.cc
@@ -52,6 +52,21 @@
   CHECK(limits.skipped_bytes == 1000000);
 }
 
+TEST_CASE("The bound on the age of the configuration is checked",
+          "[relay][settings]") {
+  Json settings = MakeValidSettings();
+  const auto parsed = ParseEntrySettings(settings.dump());
+  REQUIRE(parsed);
+  CHECK(parsed.value().configuration_bound == kDefaultConfigurationBound);
+  settings["configuration_bound_ms"] = 4000;
+  const auto given = ParseEntrySettings(settings.dump());
+  REQUIRE(given);
+  CHECK(given.value().configuration_bound == std::chrono::seconds(4));
+  settings["configuration_bound_ms"] = 4;
+  CHECK(MistakesIn(settings).find("configuration_bound_ms") !=
+        std::string::npos);
+}
+
 // Guards against a mistyped limit that is silently replaced by its default.
 TEST_CASE("An unknown or out-of-range response limit is a mistake",
           "[relay][settings]") {
--- a/packages/relay/tests/relay/store_watcher_test.cc
+++ b/packages/relay/tests/relay/store_watcher_test.cc
@@ -31,6 +31,11 @@
     }
     co_return this->Next(this->configurations, after);
   }
+  Task<Result<ConfigurationSnapshot>> CompareConfiguration(
+      std::uint64_t after) override {
+    ++this->configuration_calls;
+    co_return this->Next(this->configurations, after);
+  }
   Task<Result<ServerListUpdate>> ReadServers() override {
     ++this->server_list_reads;
     co_return this->Next(this->server_updates, this->revision);
