--- a/packages/relay/src/relay/deployment_store.h
+++ b/packages/relay/src/relay/deployment_store.h
@@ -41,6 +41,8 @@
 struct ServerListUpdate {
   std::uint64_t revision = 0;
   std::vector<ServerEntry> entries;
+  /// Reasons why entries describe no usable server, by id.
+  std::map<std::string, std::string> unreadable;
 };
 
 /// Read access to what operators and backend servers write to the platform's
--- a/packages/relay/src/relay/store_watcher.cc
+++ b/packages/relay/src/relay/store_watcher.cc
@@ -92,6 +92,10 @@
     co_return this->RecordFailure(list_update.error());
   }
   this->RecordSuccess();
+  for (const auto& [id, detail] : list_update.value().unreadable) {
+    this->relay.events.Record(EventId::kRelayEntryUnreadable,
+                              {{"entry", id}, {"detail", detail}});
+  }
   RemoveSupersededEntries(list_update.value().entries);
   const Duration pause = kServerPollInterval +
                          Duration(std::uniform_int_distribution<Duration::rep>(
