Put the readable parts of a configuration into force

Cause: one member that could not be read made the whole version unreadable, so the former version stayed in force with its routes and withdrawn keys.

Requests of such a route, and requests with a key that isn't listed while a workspace is unreadable, are refused with 503: they have not run, and 404 or 401 would be wrong.

--- a/packages/relay/src/relay/deployment.h
+++ b/packages/relay/src/relay/deployment.h
@@ -40,6 +40,7 @@
   int max_attempts = 1;
   /// Whether requests without a known API key are allowed.
   bool anonymous = false;
+  /// Empty if the route could not be read: its requests can't be served.
   std::vector<WeightedService> services;
 };
 
@@ -110,6 +111,11 @@
   bool has_workspaces = false;
   /// Workspaces by API key.
   std::map<std::string, Workspace, std::less<>> workspaces_by_key;
+  /// Whether the keys of a workspace could not be read, so that a key that is
+  /// not listed can be valid.
+  bool has_unreadable_workspace = false;
+  /// Why parts of the configuration could not be read, one reason a part.
+  std::vector<std::string> unreadable;
 };
 
 /// Range [first, end) of the layers of a model.
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -79,7 +79,13 @@
     this->SendLocalReply({404, "no route matches", std::nullopt});
     return false;
   }
-  if (!this->CheckKey(configuration)) {
+  const bool key_is_known = this->CheckKey(configuration);
+  if (!key_is_known && configuration.has_unreadable_workspace) {
+    this->SendLocalReply(
+        {503, "the keys of a workspace are unreadable", milliseconds(500)});
+    return false;
+  }
+  if (!key_is_known) {
     this->SendLocalReply({401, "the key is not known", std::nullopt});
     return false;
   }
--- a/packages/relay/tests/relay/exchange_test.cc
+++ b/packages/relay/tests/relay/exchange_test.cc
@@ -105,6 +105,28 @@
   CHECK(server.requests() == 0);
 }
 
+TEST_CASE("Requests that an unreadable part concerns are refused with 503",
+          "[relay][exchange]") {
+  RelayHarness harness;
+  harness.AddServer("s1");
+  Route unreadable = MakeRoute("/b/", RetryPolicy::kNever);
+  unreadable.services.clear();
+  harness.Configure({MakeRoute("/a/", RetryPolicy::kNever), unreadable});
+  SECTION("a route") {
+    Peer& caller = harness.Call(RelayHarness::Request("/b/x"));
+    CHECK(harness.Receives(caller, "HTTP/1.1 503"));
+  }
+  SECTION("the keys of a workspace") {
+    auto configuration = harness.relay.active_configuration->configuration;
+    configuration.has_unreadable_workspace = true;
+    configuration.workspaces_by_key.erase("k1");
+    harness.relay.active_configuration =
+        std::make_shared<const ActiveConfiguration>(configuration);
+    Peer& caller = harness.Call(RelayHarness::Request("/a/x"));
+    CHECK(harness.Receives(caller, "HTTP/1.1 503"));
+  }
+}
+
 TEST_CASE("A request that must not run twice is not retried after a failure",
           "[relay][exchange][once]") {
   RelayHarness harness;
