Log the request limits that servers name

Cause: no process reads the limit on requests that a server in need names in its answers, and no log line shows it.

RequestLimit keeps the last statement; no decision uses it yet, so requests go as before.

Measured: adapter and relay tests pass.

--- a/packages/foundation/src/foundation/event.cc
+++ b/packages/foundation/src/foundation/event.cc
@@ -175,6 +175,12 @@
         Severity::kWarning,
         "A read of the configuration failed; `cause` says why it was made, "
         "`waited_ms` how long it took. Tried again."},
+    EventInfo{EventId::kServerLimited, "server_limited", Severity::kWarning,
+              "A backend server named the requests a second that it takes from "
+              "all processes together; `share` is the part that this process "
+              "may send, `source` says who received the answer."},
+    EventInfo{EventId::kServerLimitEnded, "server_limit_ended", Severity::kInfo,
+              "A backend server's answers no longer name a limit on requests."},
 };
 
 }  // namespace
--- a/packages/foundation/src/foundation/event.h
+++ b/packages/foundation/src/foundation/event.h
@@ -86,6 +86,8 @@
   kQuarantineNotStored = 7015,
   kConfigurationCompared = 7016,
   kConfigurationReadFailed = 7017,
+  kServerLimited = 7018,
+  kServerLimitEnded = 7019,
 };
 
 /// Catalogue entry of an event.
--- a/packages/relay/src/relay/exchange_responses.cc
+++ b/packages/relay/src/relay/exchange_responses.cc
@@ -42,6 +42,10 @@
   if (response.leaving) {
     MarkLeaving(this->relay, sender, this->metadata.attempt_id);
   }
+  if (response.request_limit) {
+    this->relay.limits.RecordLimit(sender, *response.request_limit,
+                                   this->relay.Now());
+  }
   if (status == kUnavailableStatus && response.retry_after) {
     sender.RecordPause(this->relay.Now(), *response.retry_after);
     this->relay.events.Record(EventId::kServerPaused,
@@ -53,6 +57,10 @@
 
 void Exchange::OnResponse(ResponseHead received) {
   this->head = std::move(received);
+  if (IsSuccess(this->head->status) && this->head->metadata.is_signed &&
+      !this->head->metadata.request_limit) {
+    this->relay.limits.RecordNoLimit(*this->server, this->relay.Now());
+  }
   if (this->IsStream()) {
     return;
   }
--- a/packages/relay/src/relay/protocol.h
+++ b/packages/relay/src/relay/protocol.h
@@ -62,6 +62,9 @@
   bool leaving = false;  ///< The server is about to stop.
   /// Time for which the server asks this process to send no requests.
   std::optional<Duration> retry_after;
+  /// Requests a second that the server takes from all processes together; empty
+  /// if the response states no limit.
+  std::optional<double> request_limit;
 };
 
 /// Parses and serializes the headers that callers and servers use. The names of
--- a/packages/relay/src/relay/rate_limited_event_sink.cc
+++ b/packages/relay/src/relay/rate_limited_event_sink.cc
@@ -11,7 +11,8 @@
 bool ConcernsOneRequest(EventId id) {
   return id == EventId::kRelayRequestFinished ||
          id == EventId::kRelayAttemptFailed ||
-         id == EventId::kServerSuspected || id == EventId::kCrashProbed;
+         id == EventId::kServerSuspected || id == EventId::kCrashProbed ||
+         id == EventId::kServerLimited || id == EventId::kServerLimitEnded;
 }
 
 }  // namespace
--- a/packages/relay/src/relay/relay.h
+++ b/packages/relay/src/relay/relay.h
@@ -12,6 +12,7 @@
 #include "relay/crash_probe.h"
 #include "relay/deployment.h"
 #include "relay/deployment_store.h"
+#include "relay/limit_tracker.h"
 #include "relay/prompt_quarantine.h"
 #include "relay/protocol.h"
 #include "relay/relay_metrics.h"
@@ -59,6 +60,7 @@
   RelayMetrics metrics;
   std::string availability_zone;
   ServerDirectory servers;
+  LimitTracker limits{servers, events};
   UpstreamPool pool;
   RetryBudget retry_budget;
   std::mt19937_64 random;
--- a/packages/relay/src/relay/server.h
+++ b/packages/relay/src/relay/server.h
@@ -7,6 +7,7 @@
 
 #include "foundation/clock.h"
 #include "relay/deployment.h"
+#include "relay/request_limit.h"
 
 namespace qp::relay {
 
@@ -67,6 +68,8 @@
   bool leaving = false;
   /// End of the pause in requests that the server has asked this process for.
   TimePoint paused_until{};
+  /// Request rate that the server accepts from all processes.
+  RequestLimit request_limit;
 
   bool IsUsable() const {
     return !this->record.draining && !this->leaving &&
