Let failed properties fail their tests

RapidCheck prints a counterexample then, but the test passes, so these properties had no say in the verdict. Found when a planted fault in a new property did not turn its test red.

--- a/packages/relay/tests/relay/chain_repair_test.cc
+++ b/packages/relay/tests/relay/chain_repair_test.cc
@@ -102,7 +102,7 @@
 
 TEST_CASE("A repaired chain covers all layers and keeps all other stages",
           "[relay][chains]") {
-  rc::check("for any engines", [] {
+  CHECK(rc::check("for any engines", [] {
     std::vector<ServerPtr> engines;
     const int count = *rc::gen::inRange(2, 24);
     for (int index = 0; index < count; ++index) {
@@ -148,7 +148,7 @@
           });
       RC_ASSERT(kept == (stage.server != lost));
     }
-  });
+  }));
 }
 
 }  // namespace qp::relay::testing
--- a/packages/relay/tests/relay/event_splitter_test.cc
+++ b/packages/relay/tests/relay/event_splitter_test.cc
@@ -47,7 +47,7 @@
 
 TEST_CASE("Events do not depend on how the bytes are split",
           "[relay][events]") {
-  rc::check("for any cuts", [] {
+  CHECK(rc::check("for any cuts", [] {
     std::string stream;
     const int count = *rc::gen::inRange(1, 20);
     for (int id = 0; id < count; ++id) {
@@ -67,7 +67,7 @@
       }
     }
     RC_ASSERT(joined == stream);
-  });
+  }));
 }
 
 }  // namespace qp::relay::testing
--- a/packages/relay/tests/relay/layer_plan_test.cc
+++ b/packages/relay/tests/relay/layer_plan_test.cc
@@ -155,7 +155,7 @@
 }
 
 TEST_CASE("No order exceeds the memory of an engine", "[relay][layers]") {
-  rc::check("for any engines and any layers held", [] {
+  CHECK(rc::check("for any engines and any layers held", [] {
     const auto profile = MakeProfile();
     std::vector<PlannedEngine> engines;
     const int count = *rc::gen::inRange(0, 40);
@@ -182,7 +182,7 @@
       RC_ASSERT(order.layers.size() * profile.layer_mb < kind.memory_mb);
       RC_ASSERT(engine->layers.empty() || engine->movable);
     }
-  });
+  }));
 }
 
 }  // namespace qp::relay::testing
--- a/packages/relay/tests/relay/prompt_quarantine_test.cc
+++ b/packages/relay/tests/relay/prompt_quarantine_test.cc
@@ -381,7 +381,7 @@
 
 TEST_CASE("Parts of sound requests survive ordinary crashes and bad parts",
           "[relay][quarantine]") {
-  rc::check("for any order of crashes", [] {
+  CHECK(rc::check("for any order of crashes", [] {
     PromptQuarantine quarantine;
     std::mt19937 random(*rc::gen::arbitrary<unsigned>());
     const auto draw = [&random](int limit) {
@@ -453,7 +453,7 @@
     RC_ASSERT(bad_crashes <= 8);
     RC_ASSERT(sound_rejected * 50 <= sound_requests);
     RC_ASSERT(!quarantine.IsQuarantined("popular"));
-  });
+  }));
 }
 
 }  // namespace qp::relay::testing
--- a/packages/relay/tests/relay/retry_budget_test.cc
+++ b/packages/relay/tests/relay/retry_budget_test.cc
@@ -52,7 +52,7 @@
 
 TEST_CASE("Retries in any span of the window's length stay within the limit",
           "[relay][retries]") {
-  rc::check("for any times of requests and repeats", [] {
+  CHECK(rc::check("for any times of requests and repeats", [] {
     const auto limits = MakeLimits(0.2, 20);
     RetryBudget retry_budget(limits, kLongRunningStart);
     TimePoint now{std::chrono::hours(1)};
@@ -79,7 +79,7 @@
       RC_ASSERT(count(retries, 1) <=
                 limits.ratio * count(requests, 2) + limits.extra);
     }
-  });
+  }));
 }
 
 TEST_CASE(
--- a/packages/relay/tests/relay/server_choice_test.cc
+++ b/packages/relay/tests/relay/server_choice_test.cc
@@ -36,7 +36,7 @@
 }  // namespace
 
 TEST_CASE("A chain runs each layer once and in order", "[relay][chains]") {
-  rc::check("for any engines", [] {
+  CHECK(rc::check("for any engines", [] {
     std::vector<ServerPtr> engines;
     const int count = *rc::gen::inRange(0, 14);
     for (int index = 0; index < count; ++index) {
@@ -71,7 +71,7 @@
       RC_ASSERT(stage.server->IsUsable());
     }
     RC_ASSERT(next == MakeProfile().layers);
-  });
+  }));
 }
 
 TEST_CASE("A chain stays inside one zone if that zone covers the model",
