Divide the limit that a server names among all processes

Callers of a server in need were not affected yet, but the server got more requests than the limit that it had named: four VMs alone sent 53 requests in 4 s to an engine with a limit of 7.4 a second.

Cause: no process knew the limit. The class of fault: a bound that holds for all processes together is kept by none, or by each for itself.

Change: RequestLimit and ShareOfLimit (decisions without a network): of the processes in the list, floor(2 * limit) + 1 share the limit equally, chosen by rendezvous hashing, so that they agree without exchanging anything, also without peers or the store. Each sends evenly and saves up one request at most. Tries, repeats, questions, orders and moves count. What is above the part goes to other servers or is refused at once, with the time of the next room. LimitTracker passes limits on with the reports, so that a process knows one before an answer names it; a process that starts is reported to as soon as it has reported itself, and is ready once a peer has reported or after 1 s. A limit ends with a signed success that names none, or after 60 s.

Ruled out: a part for each process (a process may save up one request, and there can be more processes than requests a second); shares by measured demand (don't hold without peers).

Before, with the limit not applied (mutation run): 13 checks fail in limited_server, request_limit and layer_controller tests. Equal parts for all processes fail the property, and so does a process that isn't reported to. After: 210 cases of relay pass, adapter tests pass.

--- a/packages/relay/src/relay/deployment_store.h
+++ b/packages/relay/src/relay/deployment_store.h
@@ -97,12 +97,15 @@
   LayerRange layers;
 };
 
-/// Receives each server that announces, in a response to an order, that it is
-/// about to stop.
-class LeavingListener {
+/// Receives what servers announce about themselves in responses to orders and
+/// queries.
+class ServerNoticeListener {
  public:
-  virtual ~LeavingListener() = default;
+  virtual ~ServerNoticeListener() = default;
+  /// `server` is about to stop.
   virtual void OnLeaving(const ServerRecord& server) = 0;
+  /// `server` takes `rate` requests a second from all processes together.
+  virtual void OnRequestLimit(const ServerRecord& server, double rate) = 0;
 };
 
 /// Sends orders to engines and queries their state.
@@ -110,7 +113,7 @@
  public:
   virtual ~EngineControl() = default;
   /// Sets the listener for all calls. `listener` must outlive them.
-  virtual void SetLeavingListener(LeavingListener& listener) = 0;
+  virtual void SetNoticeListener(ServerNoticeListener& listener) = 0;
   /// Orders an engine to replace its layers by `layers`. The engine executes
   /// the order only if it has begun exactly `order_count` orders since its
   /// start, so that an order based on outdated state gives kConflict. The
--- a/packages/relay/src/relay/entry_daemon.cc
+++ b/packages/relay/src/relay/entry_daemon.cc
@@ -10,10 +10,10 @@
 #include "relay/caller_listener.h"
 #include "relay/entry_registry.h"
 #include "relay/layer_controller.h"
-#include "relay/leaving_handler.h"
 #include "relay/quarantine_store.h"
 #include "relay/rate_limited_event_sink.h"
 #include "relay/relay.h"
+#include "relay/server_notice_handler.h"
 #include "relay/store_watcher.h"
 #include "storage/lease.h"
 
@@ -73,6 +73,7 @@
 
 struct EntryDaemon::State : ReportListener,
                             QuarantineListener,
+                            LimitListener,
                             std::enable_shared_from_this<EntryDaemon::State> {
   State(EntrySettings given, PlatformServices services,
         asio::io_context& context, Clock& time, EventSink& sink,
@@ -88,7 +89,7 @@
         lease(*services.table, time, events, "lease/layers",
               settings.node + "/" + std::to_string(seed), kLayerLease),
         controller(relay, time, *services.engines, lease),
-        leaving_handler(relay),
+        server_notice_handler(relay),
         gossip(relay, time, settings.node, *this),
         registry(relay, time, *services.table, gossip, settings.node,
                  settings.peer_address),
@@ -100,15 +101,17 @@
     this->relay.response_limits = this->settings.response_limits;
     this->relay.configuration_freshness.SetBound(
         this->settings.configuration_bound);
-    services.engines->SetLeavingListener(this->leaving_handler);
+    services.engines->SetNoticeListener(this->server_notice_handler);
     this->relay.quarantine.SetListener(this);
+    this->relay.limits.SetListener(this);
     this->watcher.on_change = [this] { this->LogReadiness(); };
     this->watcher.on_servers_polled = [this] { this->gossip.SendUpdate(); };
   }
 
   bool IsReady() const {
     return !this->relay.draining && this->watcher.has_configuration() &&
-           this->watcher.has_servers() && this->quarantine_store.loaded();
+           this->watcher.has_servers() && this->quarantine_store.loaded() &&
+           this->gossip.has_joined();
   }
 
   void LogReadiness() {
@@ -131,15 +134,21 @@
     }
     this->watcher.ApplyReport(report);
     this->relay.quarantine.Merge(report.node, report.parts, this->clock.Now());
+    this->relay.limits.Merge(report.limits, this->clock.Now());
   }
 
   void FillReport(LoadReport& report) override {
     report.holds_lease = this->lease.FencingNumber().has_value();
     this->watcher.FillReport(report);
     report.parts = this->relay.quarantine.MakeReports(this->clock.Now());
+    report.limits = this->relay.limits.MakeReports(this->clock.Now());
   }
 
-  void OnChange() override {
+  void OnChange() override { this->ScheduleUpdate(); }
+  void OnLimitChange() override { this->ScheduleUpdate(); }
+
+  /// Sends a report to all peers at once.
+  void ScheduleUpdate() {
     // The resolution of the timers joins changes that follow each other.
     if (!std::exchange(this->update_scheduled, true)) {
       this->relay.timers.Schedule(this->clock.Now(), [this] {
@@ -198,6 +207,7 @@
   Task<void> RunMaintenance() {
     while (true) {
       co_await SleepFor(this->clock, kMaintenanceInterval);
+      this->LogReadiness();
       this->relay.pool.Expire();
       this->relay.servers.Expire(this->clock.Now());
       this->relay.quarantine.Expire(this->clock.Now());
@@ -248,7 +258,7 @@
   StoreWatcher watcher;
   Lease lease;
   LayerController controller;
-  LeavingHandler leaving_handler;
+  ServerNoticeHandler server_notice_handler;
   LoadGossip gossip;
   EntryRegistry registry;
   QuarantineStore quarantine_store;
--- a/packages/relay/src/relay/entry_registry.cc
+++ b/packages/relay/src/relay/entry_registry.cc
@@ -73,12 +73,17 @@
   }
   double processes_in_own_zone = 0;
   std::map<std::string, std::string> zone_by_address;
+  std::vector<std::string> names;
+  const std::size_t prefix_size = std::string_view(kPrefix).size();
   for (const auto& item : items.value()) {
     const auto zone = item.value.value("availability_zone", std::string());
     processes_in_own_zone += zone == this->relay.availability_zone ? 1 : 0;
+    names.push_back(item.key.substr(prefix_size));
     zone_by_address[item.value.value("address", std::string())] = zone;
   }
   this->relay.processes_in_zone = std::max(1.0, processes_in_own_zone);
+  this->relay.limits.SetProcesses(this->node, std::move(names),
+                                  this->clock.Now());
   this->gossip.SetPeers(std::move(zone_by_address));
   this->relay.retry_budget.SetProcessCount(
       std::max<std::size_t>(1, items.value().size()));
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -214,6 +214,8 @@
   this->splitter.Reset();
   this->reading_paused = false;
 
+  // The choice has only considered servers with room for a request.
+  std::ignore = this->server->request_limit.TryAcquire(this->try_started_at);
   this->AddLoad();
   this->TrackPrompt();
   ForwardMetadata forward;
--- a/packages/relay/src/relay/exchange_move.cc
+++ b/packages/relay/src/relay/exchange_move.cc
@@ -45,9 +45,13 @@
   }
   this->moved_at = this->relay.Now();
   this->StartProgressTimer(*this->moved_at + kMoveTimeout);
-  if (this->server->IsPaused(this->relay.Now())) {
-    // The first engine has asked for no requests until the pause ends, so the
-    // move starts without its report.
+  const ServerPtr& first = this->server;
+  const bool is_asked =
+      this->relay.stalled_requests.IsPending(first->record.id);
+  if (!is_asked && (!first->AcceptsRequest(*this->moved_at) ||
+                    !first->request_limit.TryAcquire(*this->moved_at))) {
+    // The first engine must get no request now, so the move starts without its
+    // report.
     this->BeginMove(StalledRequests());
     return true;
   }
@@ -161,7 +165,8 @@
 
 bool Exchange::RequestNextMove() {
   auto next = this->ChooseMoveChain();
-  if (!next) {
+  // Without room for the order, the stream is resumed elsewhere instead.
+  if (!next || !this->server->request_limit.TryAcquire(this->relay.Now())) {
     return false;
   }
   ++this->move_order_count;
--- a/packages/relay/src/relay/exchange_responses.cc
+++ b/packages/relay/src/relay/exchange_responses.cc
@@ -4,8 +4,8 @@
 #include <utility>
 
 #include "relay/exchange.h"
-#include "relay/leaving_handler.h"
 #include "relay/log_text.h"
+#include "relay/server_notice_handler.h"
 #include "relay/status.h"
 
 namespace qp::relay {
--- a/packages/relay/src/relay/layer_controller.cc
+++ b/packages/relay/src/relay/layer_controller.cc
@@ -50,6 +50,10 @@
           !this->lease.FencingNumber()) {
         continue;
       }
+      // Without room for an order, the engine is ordered in a later round.
+      if (!server->request_limit.HasRoom(this->clock.Now())) {
+        continue;
+      }
       const double share =
           static_cast<double>(order.layers.size()) / profile.layers;
       const auto load_time =
@@ -90,6 +94,12 @@
   return engines;
 }
 
+bool LayerController::AcquireRequest(const ServerRecord& engine) {
+  const ServerPtr server = this->relay.servers.Find(engine.id);
+  return server == nullptr ||
+         server->request_limit.TryAcquire(this->clock.Now());
+}
+
 Task<bool> LayerController::FetchOrderCount(ServerRecord engine) {
   const EngineKey key{engine.id, engine.incarnation};
   if (this->order_counts.contains(key)) {
@@ -102,6 +112,9 @@
     this->order_counts[key] = 0;
     co_return true;
   }
+  if (!this->AcquireRequest(engine)) {
+    co_return false;
+  }
   const auto state = co_await this->control.GetState(engine);
   if (!state || state.value().incarnation != engine.incarnation) {
     co_return false;
@@ -116,7 +129,8 @@
   this->pending[key] = {layers, this->clock.Now() + kRetryInterval};
   const bool known = co_await this->FetchOrderCount(engine);
   // The lease can have ended while the order count was fetched.
-  if (!known || this->relay.draining || !this->lease.FencingNumber()) {
+  if (!known || this->relay.draining || !this->lease.FencingNumber() ||
+      !this->AcquireRequest(engine)) {
     co_return;
   }
   const std::uint64_t count = this->order_counts[key];
@@ -151,6 +165,10 @@
     // until it counts as lost.
     co_return;
   }
+  this->pending[key].lost_at = this->clock.Now() + kRetryInterval;
+  if (!this->AcquireRequest(engine)) {
+    co_return;
+  }
   const auto state = co_await this->control.GetState(engine);
   if (state && state.value().incarnation == engine.incarnation) {
     this->order_counts[key] = state.value().order_count;
--- a/packages/relay/src/relay/layer_controller.h
+++ b/packages/relay/src/relay/layer_controller.h
@@ -55,6 +55,9 @@
   Task<void> RefreshState(ServerRecord engine, bool answered);
   /// Fetches the number of orders that the engine has begun, unless that number
   /// is known. False if the engine does not report it or has restarted.
+  /// Counts a request to the engine against its limit on requests; false if
+  /// there is no room for it now.
+  bool AcquireRequest(const ServerRecord& engine);
   Task<bool> FetchOrderCount(ServerRecord engine);
 
   RelayContext& relay;
--- a/packages/relay/src/relay/load_gossip.cc
+++ b/packages/relay/src/relay/load_gossip.cc
@@ -144,6 +144,34 @@
 void LoadGossip::SetPeers(std::map<std::string, std::string> zone_by_address) {
   this->peers = std::move(zone_by_address);
   this->peers.erase(this->own_address);
+  this->learned_peers = 0;
+  if (!this->joined_at) {
+    this->joined_at = this->clock.Now();
+  }
+  this->IndexOtherZones();
+}
+
+bool LoadGossip::has_joined() const {
+  return this->joined_at &&
+         (this->has_heard_peer || this->peers.empty() ||
+          this->clock.Now() - *this->joined_at >= kMaxFirstReportWait);
+}
+
+void LoadGossip::LearnPeer(const LoadReport& report) {
+  this->has_heard_peer = true;
+  const std::string address = this->sender.address().to_string() + ":" +
+                              std::to_string(this->sender.port());
+  if (address == this->own_address || this->peers.contains(address) ||
+      this->learned_peers >= kMaxLearnedPeers) {
+    return;
+  }
+  ++this->learned_peers;
+  this->relay.metrics.Count("quetzalpost_load_reports_total", "new_sender");
+  this->peers.emplace(address, report.availability_zone);
+  this->IndexOtherZones();
+}
+
+void LoadGossip::IndexOtherZones() {
   this->other_zones.clear();
   for (const auto& [address, zone] : this->peers) {
     if (zone != this->relay.availability_zone) {
@@ -175,6 +203,7 @@
             this->relay.metrics.Count("quetzalpost_load_reports_total",
                                       "malformed");
           } else if (report.value().node != this->node) {
+            this->LearnPeer(report.value());
             this->listener.OnReport(report.value());
             ApplyRefusals(report.value(), this->relay.servers,
                           this->clock.Now());
--- a/packages/relay/src/relay/load_gossip.h
+++ b/packages/relay/src/relay/load_gossip.h
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -105,6 +106,13 @@
   /// processes of other zones.
   static constexpr std::size_t kFullMeshPeerLimit = 24;
 
+  /// Longest time that a process that starts waits for the report of a peer.
+  /// Reports of the own zone arrive every 150 ms in small deployments.
+  static constexpr Duration kMaxFirstReportWait =
+      std::chrono::milliseconds(1000);
+  /// Senders that are reported to although the registry does not name them yet.
+  static constexpr std::size_t kMaxLearnedPeers = 1000;
+
   LoadGossip(RelayContext& relay, Clock& clock, std::string node,
              ReportListener& listener);
 
@@ -120,6 +128,10 @@
   /// interval. `to_other_zones`: also to all processes of other zones.
   void SendUpdate(bool to_other_zones = false);
   bool has_peers() const { return !this->peers.empty(); }
+  /// Whether this process knows what its peers know: one of them has reported,
+  /// or there are none, or none has reported for kMaxFirstReportWait. False
+  /// before SetPeers.
+  bool has_joined() const;
 
  private:
   /// The load of the zone is sent after a report whose number is a multiple of
@@ -127,12 +139,16 @@
   static constexpr std::uint64_t kReportsPerZoneReport = 2;
 
   void Receive();
+  /// Reports to the sender of `report` from now on. A process that starts must
+  /// not wait for its peers to count the processes again.
+  void LearnPeer(const LoadReport& report);
   LoadReport MakeReport();
   void SendReports();
   void SendToPeers(LoadReport& report, bool to_other_zones);
   /// Sends the load of the zone to one random process of each other zone.
   void SendZoneReports(LoadReport report);
   void SendTo(std::string_view address, std::string_view bytes);
+  void IndexOtherZones();
   /// Updates `is_full_mesh` and RelayContext::other_zones_known.
   void UpdateKnownZones();
 
@@ -147,6 +163,11 @@
   /// Sender of the datagram that was received last.
   asio::ip::udp::endpoint sender;
   std::array<char, 32768> buffer;
+  /// Time of the first SetPeers.
+  std::optional<TimePoint> joined_at;
+  bool has_heard_peer = false;
+  /// Number of peers that LearnPeer has added since the last SetPeers.
+  std::size_t learned_peers = 0;
   /// Zone of each peer, by address.
   std::map<std::string, std::string> peers;
   /// Addresses of the processes of each other zone, by zone.
--- a/packages/relay/src/relay/load_report.cc
+++ b/packages/relay/src/relay/load_report.cc
@@ -4,16 +4,18 @@
 #include <span>
 #include <utility>
 
+#include "relay/request_limit.h"
+
 namespace qp::relay {
 
 namespace {
 
 /// Version of the layout, the first member of each report. Datagrams with
 /// another version are rejected.
-constexpr std::uint32_t kReportFormat = 6;
+constexpr std::uint32_t kReportFormat = 7;
 
 // Lengths of the arrays in a report.
-constexpr std::size_t kReportMembers = 16;
+constexpr std::size_t kReportMembers = 17;
 constexpr std::size_t kLoadMembers = 3;
 constexpr std::size_t kRefusalMembers = 2;
 constexpr std::size_t kUpdateMembers = 3;
@@ -21,6 +23,7 @@
 constexpr std::size_t kRecordMembers = 9;
 constexpr std::size_t kPartMembers = 4;
 constexpr std::size_t kCrashMembers = 3;
+constexpr std::size_t kLimitMembers = 3;
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -157,6 +160,32 @@
   return report;
 }
 
+void Pack(Packer& packer, const LimitReport& report) {
+  packer.pack_array(kLimitMembers);
+  packer.pack(report.server);
+  if (report.rate) {
+    packer.pack(*report.rate);
+  } else {
+    packer.pack_nil();
+  }
+  packer.pack(report.age_ms);
+}
+
+LimitReport DecodeLimit(const msgpack::object& object) {
+  const auto members = ElementsOf(object, kLimitMembers);
+  LimitReport report;
+  report.server = members[0].as<std::string>();
+  if (!members[1].is_nil()) {
+    report.rate = members[1].as<double>();
+    // Not a number, negative and infinite limits are rejected.
+    if (!(*report.rate >= 0 && *report.rate <= kMaxRequestLimit)) {
+      throw msgpack::type_error();
+    }
+  }
+  report.age_ms = members[2].as<std::uint32_t>();
+  return report;
+}
+
 LoadReport DecodeReport(const msgpack::object& object) {
   const auto members = ElementsOf(object, kReportMembers);
   if (members[0].as<std::uint32_t>() != kReportFormat) {
@@ -186,6 +215,9 @@
   for (const auto& part : ElementsOf(members[15])) {
     report.parts.push_back(DecodePart(part));
   }
+  for (const auto& limit : ElementsOf(members[16])) {
+    report.limits.push_back(DecodeLimit(limit));
+  }
   return report;
 }
 
@@ -228,6 +260,10 @@
   for (const auto& part : report.parts) {
     Pack(packer, part);
   }
+  packer.pack_array(static_cast<std::uint32_t>(report.limits.size()));
+  for (const auto& limit : report.limits) {
+    Pack(packer, limit);
+  }
   return {bytes.data(), bytes.size()};
 }
 
--- a/packages/relay/src/relay/load_report.h
+++ b/packages/relay/src/relay/load_report.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,6 +31,17 @@
   bool operator==(const ServerRefusal&) const = default;
 };
 
+/// Limit on requests that a server has named, or its end.
+struct LimitReport {
+  std::string server;
+  /// Requests a second from all processes together; empty if answers of the
+  /// server no longer name a limit.
+  std::optional<double> rate;
+  std::uint32_t age_ms = 0;  ///< Time since the answer that said so.
+
+  bool operator==(const LimitReport&) const = default;
+};
+
 /// Changes of the server list that one poll of the store returned.
 struct ServerUpdate {
   std::uint64_t from = 0;  ///< Revision before the changes.
@@ -69,6 +81,8 @@
   std::vector<ServerUpdate> updates;
   /// Prompt parts that are suspect, quarantined or have just been cleared.
   std::vector<PartReport> parts;
+  /// Limits on requests that servers have named.
+  std::vector<LimitReport> limits;
 };
 
 std::string EncodeLoadReport(const LoadReport& report);
--- a/packages/relay/src/relay/request_limit.h
+++ b/packages/relay/src/relay/request_limit.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <optional>
 #include <span>
 #include <string>
@@ -9,6 +10,9 @@
 
 namespace qp::relay {
 
+/// Largest limit in requests a second. Larger ones are no limits in practice.
+inline constexpr double kMaxRequestLimit = 1e6;
+
 /// Number of requests a second that a server takes from all processes together,
 /// as its answers state it, and the part of it that this process may send.
 ///
--- a/packages/relay/src/relay/server.cc
+++ b/packages/relay/src/relay/server.cc
@@ -41,6 +41,12 @@
       std::max(this->paused_until, now + std::min(duration, kMaxPause));
 }
 
+std::optional<TimePoint> Server::AcceptsRequestAt(TimePoint now) const {
+  const auto room = this->request_limit.NextRoom(now);
+  return room ? std::optional(std::max(*room, this->paused_until))
+              : std::nullopt;
+}
+
 void Server::RecordProgress(TimePoint now) {
   this->last_progress = now;
   this->consecutive_failures = 0;
--- a/packages/relay/src/relay/server.h
+++ b/packages/relay/src/relay/server.h
@@ -76,6 +76,13 @@
            !this->removed_at.has_value();
   }
   bool IsPaused(TimePoint now) const { return now < this->paused_until; }
+  /// Whether this process may send the server a request now: neither a pause
+  /// nor the limit on requests forbids it.
+  bool AcceptsRequest(TimePoint now) const {
+    return !this->IsPaused(now) && this->request_limit.HasRoom(now);
+  }
+  /// Earliest time at which AcceptsRequest can hold; empty if unknown.
+  std::optional<TimePoint> AcceptsRequestAt(TimePoint now) const;
   bool IsRefusing(TimePoint now) const {
     return now < this->refusing_until || now < this->peer_refusing_until;
   }
--- a/packages/relay/src/relay/server_choice.cc
+++ b/packages/relay/src/relay/server_choice.cc
@@ -56,14 +56,19 @@
   std::uint32_t first = 0;  ///< First layer that the engine runs in the chain.
   /// Index of the candidate before this one in the chain; -1 if none.
   int previous = -1;
+  /// Whether the request may be sent to it. Further engines of a chain get
+  /// their work from the engine before them.
+  bool may_be_first = true;
 };
 
 class ChainSearch {
  public:
   ChainSearch(const EngineProfile& engine_profile,
-              const ChoiceQuery& choice_query, std::mt19937_64& random_source)
+              const ChoiceQuery& choice_query, TimePoint time,
+              std::mt19937_64& random_source)
       : profile(engine_profile),
         query(choice_query),
+        now(time),
         random(random_source),
         end_layer(choice_query.end_layer > 0 ? choice_query.end_layer
                                              : engine_profile.layers) {}
@@ -89,6 +94,8 @@
     Candidate candidate;
     candidate.server = server;
     candidate.layers = layers;
+    candidate.may_be_first = this->IsFixedFirstStage(*server) ||
+                             server->request_limit.HasRoom(this->now);
     candidate.layer_ms =
         kind->second.step_factor / this->profile.layers *
         (this->profile.step_ms +
@@ -155,7 +162,7 @@
   void Relax(std::size_t index) {
     Candidate& next = this->candidates[index];
     const LayerRange range = next.layers;
-    if (range.first == 0) {
+    if (range.first == 0 && next.may_be_first) {
       next.chain_ms = range.size() * next.layer_ms;
       next.first = 0;
     }
@@ -214,6 +221,7 @@
 
   const EngineProfile& profile;
   const ChoiceQuery& query;
+  TimePoint now;
   std::mt19937_64& random;
   std::uint32_t end_layer;
   std::vector<Candidate> candidates;
@@ -226,11 +234,13 @@
 /// second for the whole deployment.
 std::optional<Chain> ChooseChainAmong(const EngineProfile& profile,
                                       std::span<const ServerPtr> engines,
-                                      const ChoiceQuery& query,
+                                      const ChoiceQuery& query, TimePoint now,
                                       std::mt19937_64& random) {
   std::map<std::string_view, ChainSearch> zones;
   for (const auto& engine : engines) {
-    zones.try_emplace(engine->record.availability_zone, profile, query, random)
+    zones
+        .try_emplace(engine->record.availability_zone, profile, query, now,
+                     random)
         .first->second.Add(engine);
   }
   const auto own = zones.find(query.availability_zone);
@@ -253,7 +263,7 @@
   if (best) {
     return best;
   }
-  ChainSearch all_zones(profile, query, random);
+  ChainSearch all_zones(profile, query, now, random);
   for (const auto& engine : engines) {
     all_zones.Add(engine);
   }
@@ -284,9 +294,9 @@
       not_suspect.push_back(engine);
     }
   }
-  auto chain = ChooseChainAmong(profile, not_suspect, query, random);
+  auto chain = ChooseChainAmong(profile, not_suspect, query, now, random);
   if (!chain && not_suspect.size() < usable.size()) {
-    chain = ChooseChainAmong(profile, usable, query, random);
+    chain = ChooseChainAmong(profile, usable, query, now, random);
   }
   return chain;
 }
@@ -298,7 +308,7 @@
   double best_load = 0;
   for (const auto& server : servers) {
     if (!server->IsUsable() || IsExcluded(*server, query) ||
-        server->IsPaused(now)) {
+        !server->AcceptsRequest(now)) {
       continue;
     }
     const bool fresh = now - server->reported_at < kMaxReportAge;
@@ -323,13 +333,17 @@
                                           TimePoint now) {
   std::optional<TimePoint> end;
   for (const auto& server : servers) {
-    if (!server->IsUsable()) {
+    const LayerRange layers = server->record.layers;
+    const bool can_be_first = layers.empty() || layers.first == 0;
+    if (!server->IsUsable() || !can_be_first) {
       continue;
     }
-    if (!server->IsPaused(now)) {
+    if (server->AcceptsRequest(now)) {
       return std::nullopt;
     }
-    end = std::min(end.value_or(server->paused_until), server->paused_until);
+    if (const auto accepts_at = server->AcceptsRequestAt(now)) {
+      end = std::min(end.value_or(*accepts_at), *accepts_at);
+    }
   }
   return end;
 }
--- a/packages/relay/src/relay/server_choice.h
+++ b/packages/relay/src/relay/server_choice.h
@@ -53,8 +53,9 @@
 /// bandwidth. Engines without memory for the request are skipped.
 ///
 /// Suspect engines are used only if no chain exists without them, and paused
-/// engines only as the required first stage. These rules are meant for peak
-/// load during which single engines fail.
+/// engines only as the required first stage. An engine whose limit on requests
+/// is used up is not chosen as the first stage, unless it is the required one.
+/// These rules are meant for peak load during which single engines fail.
 ///
 /// Empty if no chain of engines with enough memory covers the layers.
 std::optional<Chain> ChooseChain(const EngineProfile& profile,
@@ -63,15 +64,16 @@
                                  std::mt19937_64& random);
 
 /// Chooses the server of a plain service with the lowest cost, computed from
-/// load, past failures and zone. Null if every usable server is paused or
-/// excluded, or if no server is usable.
+/// load, past failures and zone. Null if every usable server is paused,
+/// excluded or at its limit on requests, or if no server is usable.
 ServerPtr ChooseServer(std::span<const ServerPtr> servers,
                        const ChoiceQuery& query, TimePoint now,
                        std::mt19937_64& random);
 
-/// Earliest end of a pause if all usable servers have asked this process for a
-/// pause in requests. Empty if a usable server accepts requests, or if no
-/// server is usable.
+/// Earliest time at which a server accepts a request of this process, if none
+/// of the usable servers that a request can be sent to accepts one now: because
+/// of a pause that it has asked for, or of its limit on requests. Empty if one
+/// accepts requests, or if that time is unknown.
 std::optional<TimePoint> EarliestPauseEnd(std::span<const ServerPtr> servers,
                                           TimePoint now);
 
--- a/packages/relay/src/relay/leaving_handler.h
+++ b/packages/relay/src/relay/server_notice_handler.h
@@ -12,14 +12,18 @@
 /// announcement; empty if the response to an order did.
 void MarkLeaving(RelayContext& relay, Server& server, std::string_view request);
 
-/// Marks servers that announce their stop in a response to an order.
-class LeavingHandler : public LeavingListener {
+/// Records what servers announce in responses to orders and queries.
+class ServerNoticeHandler : public ServerNoticeListener {
  public:
-  explicit LeavingHandler(RelayContext& context) : relay(context) {}
+  explicit ServerNoticeHandler(RelayContext& context) : relay(context) {}
 
   void OnLeaving(const ServerRecord& server) override;
+  void OnRequestLimit(const ServerRecord& server, double rate) override;
 
  private:
+  /// The server in use; null if it is gone or has started again since.
+  ServerPtr Find(const ServerRecord& server) const;
+
   RelayContext& relay;
 };
 
--- a/packages/relay/src/relay/stalled_request_finder.cc
+++ b/packages/relay/src/relay/stalled_request_finder.cc
@@ -4,6 +4,11 @@
 
 namespace qp::relay {
 
+bool StalledRequestFinder::IsPending(std::string_view first) const {
+  const auto found = this->pending_callbacks.find(first);
+  return found != this->pending_callbacks.end() && !found->second.empty();
+}
+
 void StalledRequestFinder::Find(EngineControl& engines,
                                 const ServerRecord& first, Callback callback) {
   auto& callbacks = this->pending_callbacks[first.id];
--- a/packages/relay/src/relay/stalled_request_finder.h
+++ b/packages/relay/src/relay/stalled_request_finder.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "foundation/asio.h"
@@ -20,6 +21,9 @@
 
   explicit StalledRequestFinder(asio::io_context& context) : io(context) {}
 
+  /// Whether a request to the engine with id `first` is waiting for its
+  /// response, which Find then shares.
+  bool IsPending(std::string_view first) const;
   /// Calls `callback` once with the result, never before Find returns.
   void Find(EngineControl& engines, const ServerRecord& first,
             Callback callback);
--- a/packages/relay/tests/relay/idle_engines.h
+++ b/packages/relay/tests/relay/idle_engines.h
@@ -10,7 +10,7 @@
 /// functions that they need.
 class IdleEngines : public EngineControl {
  public:
-  void SetLeavingListener(LeavingListener&) override {}
+  void SetNoticeListener(ServerNoticeListener&) override {}
   Task<Result<OrderOutcome>> SetLayers(ServerRecord, LayerRange,
                                        std::uint64_t) override {
     co_return OrderOutcome::kRefused;
--- a/packages/relay/tests/relay/layer_controller_test.cc
+++ b/packages/relay/tests/relay/layer_controller_test.cc
@@ -140,6 +140,21 @@
   CHECK(engines.size() == 4);
 }
 
+TEST_CASE("An engine at its limit on requests gets no order",
+          "[relay][keeper][limit]") {
+  Fixture fixture;
+  fixture.AcquireLease();
+  auto& relay = fixture.harness.relay;
+  relay.limits.SetProcesses("me", {"me"}, relay.Now());
+  const std::string limited = relay.servers.Ids().front();
+  relay.limits.RecordLimit(*relay.servers.Find(limited), 0, relay.Now());
+  fixture.Run(milliseconds(3000));
+  CHECK(fixture.engines.orders.size() == 3);
+  for (const auto& order : fixture.engines.orders) {
+    CHECK(order.engine != limited);
+  }
+}
+
 TEST_CASE("No order is sent after the lease has expired", "[relay][keeper]") {
   Fixture fixture;
   fixture.AcquireLease();
--- a/packages/relay/tests/relay/load_gossip_test.cc
+++ b/packages/relay/tests/relay/load_gossip_test.cc
@@ -3,8 +3,10 @@
 #include <rapidcheck.h>
 
 #include <catch2/catch.hpp>
+#include <limits>
 
 #include "relay/configurations.h"
+#include "relay/relay_harness.h"
 
 namespace qp::relay::testing {
 
@@ -27,7 +29,7 @@
 
 TEST_CASE("Decoding an encoded load report returns the same report",
           "[relay][load]") {
-  rc::check("for any loads", [] {
+  CHECK(rc::check("for any loads", [] {
     LoadReport report =
         MakeReport("n", *rc::gen::arbitrary<std::uint64_t>(), 3);
     const int count = *rc::gen::inRange(0, 50);
@@ -45,22 +47,34 @@
     report.parts.push_back(part);
     part.started_ms_ago = *rc::gen::arbitrary<std::uint32_t>();
     report.parts.push_back(part);
+    report.limits.push_back({"s1", 6.9, *rc::gen::arbitrary<std::uint32_t>()});
+    report.limits.push_back({"s2", std::nullopt, 5});
     const auto decoded = DecodeLoadReport(EncodeLoadReport(report));
     RC_ASSERT(decoded.has_value());
+    RC_ASSERT(decoded.value().limits == report.limits);
     RC_ASSERT(decoded.value().parts == report.parts);
     RC_ASSERT(decoded.value().number == report.number);
     RC_ASSERT(decoded.value().loads == report.loads);
     RC_ASSERT(decoded.value().refusals == report.refusals);
-  });
+  }));
+}
+
+TEST_CASE("A report with a limit that is no number is rejected",
+          "[relay][load]") {
+  LoadReport report = MakeReport("n", 1, 3);
+  report.limits.push_back({"s1", -1.0, 0});
+  CHECK_FALSE(DecodeLoadReport(EncodeLoadReport(report)));
+  report.limits = {{"s1", std::numeric_limits<double>::quiet_NaN(), 0}};
+  CHECK_FALSE(DecodeLoadReport(EncodeLoadReport(report)));
 }
 
 TEST_CASE("Bytes that are not a load report are rejected", "[relay][load]") {
-  rc::check("for any bytes", [] {
+  CHECK(rc::check("for any bytes", [] {
     const auto bytes = *rc::gen::arbitrary<std::string>();
     const auto decoded = DecodeLoadReport(bytes);
     RC_ASSERT(!decoded.has_value());
     RC_ASSERT(decoded.error().code == qp::ErrorCode::kProtocol);
-  });
+  }));
   const auto whole = EncodeLoadReport(MakeReport("n", 1, 2));
   CHECK_FALSE(DecodeLoadReport(whole.substr(0, whole.size() - 1)));
 }
@@ -165,4 +179,87 @@
   CHECK(servers.Find("s1")->peer_streams == 8);
 }
 
+namespace {
+
+/// Counts the reports of peers, and reports the limits of its process.
+class LimitReporter : public ReportListener {
+ public:
+  explicit LimitReporter(RelayContext& context) : relay(context) {}
+  void OnReport(const LoadReport& report) override {
+    ++this->received;
+    this->relay.limits.Merge(report.limits, this->relay.Now());
+  }
+  void FillReport(LoadReport& report) override {
+    report.limits = this->relay.limits.MakeReports(this->relay.Now());
+  }
+
+  RelayContext& relay;
+  int received = 0;
+};
+
+/// A process with a gossip socket on a free port of the loopback interface.
+struct GossipProcess {
+  GossipProcess(std::string name, std::uint16_t port)
+      : listener(harness.relay),
+        gossip(harness.relay, harness.runtime.clock(), std::move(name),
+               listener),
+        address("127.0.0.1:" + std::to_string(port)) {
+    REQUIRE(this->gossip.Listen(this->address).has_value());
+  }
+
+  RelayHarness harness;
+  LimitReporter listener;
+  LoadGossip gossip;
+  std::string address;
+};
+
+std::uint16_t FreePort() {
+  asio::io_context io;
+  asio::ip::udp::socket socket(io, {asio::ip::address_v4::loopback(), 0});
+  return socket.local_endpoint().port();
+}
+
+}  // namespace
+
+// Guards against a process that starts and exceeds a server's limit, because
+// its peers report to it only after they have counted the processes again.
+TEST_CASE("A process that starts learns a server's limit from its peers",
+          "[relay][load][limit]") {
+  GossipProcess old_process("old", FreePort());
+  GossipProcess starting("new", FreePort());
+  old_process.gossip.SetPeers({});
+  old_process.harness.AddServer("s1");
+  starting.harness.AddServer("s1");
+  const auto& old_relay = old_process.harness.relay;
+  old_process.harness.relay.limits.RecordLimit(*old_relay.servers.Find("s1"), 2,
+                                               old_relay.Now());
+  CHECK_FALSE(starting.gossip.has_joined());
+  starting.gossip.SetPeers({{old_process.address, "a"}});
+  CHECK_FALSE(starting.gossip.has_joined());
+  starting.gossip.SendUpdate();
+  REQUIRE(old_process.harness.Until(
+      [&] { return old_process.listener.received > 0; }));
+  old_process.gossip.SendUpdate();
+  REQUIRE(
+      starting.harness.Until([&] { return starting.listener.received > 0; }));
+  CHECK(starting.gossip.has_joined());
+  const auto& server = *starting.harness.relay.servers.Find("s1");
+  CHECK(server.request_limit.RateAt(starting.harness.relay.Now()) == 2);
+}
+
+TEST_CASE("A process whose peers are silent does not wait for them for long",
+          "[relay][load]") {
+  GossipProcess starting("new", FreePort());
+  SECTION("without peers it does not wait") {
+    starting.gossip.SetPeers({});
+    CHECK(starting.gossip.has_joined());
+  }
+  SECTION("with silent peers it waits for a while") {
+    starting.gossip.SetPeers({{"127.0.0.1:1", "a"}});
+    CHECK_FALSE(starting.gossip.has_joined());
+    starting.harness.runtime.Advance(LoadGossip::kMaxFirstReportWait);
+    CHECK(starting.gossip.has_joined());
+  }
+}
+
 }  // namespace qp::relay::testing
--- a/packages/relay/tests/relay/relay_harness.h
+++ b/packages/relay/tests/relay/relay_harness.h
@@ -69,6 +69,9 @@
     metadata.not_executed = !value("Not-Run").empty();
     metadata.leaving = !value("Leaving").empty();
     metadata.failed_address = value("Culprit");
+    if (const std::string limit = value("Limit"); !limit.empty()) {
+      metadata.request_limit = std::stod(limit);
+    }
     if (const std::string pause = value("Pause-Ms"); !pause.empty()) {
       metadata.retry_after = milliseconds(std::stoi(pause));
     }
--- a/packages/relay/tests/relay/server_notice_test.cc
+++ b/packages/relay/tests/relay/server_notice_test.cc
@@ -1,8 +1,8 @@
 // Servers that announce that they stop, or that ask for a pause in requests.
 #include <catch2/catch.hpp>
 
-#include "relay/leaving_handler.h"
 #include "relay/relay_harness.h"
+#include "relay/server_notice_handler.h"
 
 namespace qp::relay::testing {
 
@@ -109,16 +109,16 @@
   harness.Configure({MakeRoute("/a/", RetryPolicy::kAlways)});
   auto& server = harness.AddServer("s1");
   auto record = harness.relay.servers.Find("s1")->record;
-  LeavingHandler leaving_handler(harness.relay);
+  ServerNoticeHandler server_notice_handler(harness.relay);
   SECTION("announced by the listed incarnation") {
-    leaving_handler.OnLeaving(record);
+    server_notice_handler.OnLeaving(record);
     Peer& caller = harness.Call(RelayHarness::Request("/a/x"));
     CHECK(harness.Receives(caller, "HTTP/1.1 503"));
     CHECK(server.requests() == 0);
   }
   SECTION("not if announced by an earlier incarnation") {
     --record.incarnation;
-    leaving_handler.OnLeaving(record);
+    server_notice_handler.OnLeaving(record);
     harness.Call(RelayHarness::Request("/a/x"));
     CHECK(harness.Gets(server, 1));
   }
--- a/packages/relay/tests/relay/stream_move_test.cc
+++ b/packages/relay/tests/relay/stream_move_test.cc
@@ -419,4 +419,29 @@
   CHECK(stream.engines.inquired.empty());
 }
 
+TEST_CASE("Questions and moves count against the first engine's limit",
+          "[relay][exchange][streams][move][limit]") {
+  SpareEngineStream stream;
+  auto& relay = stream.harness.relay;
+  relay.limits.SetProcesses("me", {"me"}, relay.Now());
+  const ServerPtr first = relay.servers.Find("first");
+  relay.limits.RecordLimit(*first, 1, relay.Now());
+  SECTION("without room the engine gets neither") {
+    stream.harness.runtime.Advance(milliseconds(400));
+    CHECK(stream.engines.inquired.empty());
+    CHECK(stream.engines.moved.empty());
+  }
+  SECTION("with room for one request it gets no second one") {
+    stream.harness.runtime.Advance(milliseconds(100));
+    first->request_limit.SetShare(10, relay.Now());
+    stream.harness.runtime.Advance(milliseconds(150));
+    first->request_limit.SetShare(0.01, relay.Now());
+    stream.harness.runtime.Advance(milliseconds(150));
+    REQUIRE(
+        stream.harness.Until([&] { return !stream.engines.inquired.empty(); }));
+    stream.harness.runtime.Settle();
+    CHECK(stream.engines.moved.empty());
+  }
+}
+
 }  // namespace qp::relay::testing
