Don't take a repeated refusal for the answer to a later request

Other operators saw callers told "not run, try again" for requests that a server had run: a faulty server had written an earlier refusal once more on a kept connection.

Cause here: a refusal without a request's id was taken for the answer to the request in flight, and a further try of a request could go out on a connection that had carried an earlier try with the same id.

Change: on a connection in use again, an answer without an id is skipped; a further try opens a new connection.

--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -230,8 +230,10 @@
       this->relay.protocol, this->relay.response_limits, this->server, *this);
   // A pooled connection can already be closing, and it is then unknown whether
   // the server has run the request. A request that must not run twice would
-  // fail for that reason alone, so it gets a new connection.
-  const bool fresh = !this->MayRetry();
+  // fail for that reason alone, so it gets a new connection. So does a further
+  // try: on a connection that has carried an earlier one, a response that the
+  // server repeats would carry the same id.
+  const bool fresh = !this->MayRetry() || this->tries > 1;
   const auto started = this->call;
   if (this->route->streaming || this->MayRetry()) {
     this->StartProgressTimeout();
--- a/packages/relay/src/relay/upstream_call.cc
+++ b/packages/relay/src/relay/upstream_call.cc
@@ -200,8 +200,10 @@
   head.metadata = this->protocol.ParseResponse(this->parser->get().base());
   this->listener->OnServerMetadata(head.status, head.metadata);
   const std::string& response_attempt_id = head.metadata.attempt_id;
+  // On a connection that has carried other requests, a response without an id
+  // can be one of theirs that the server repeats.
   this->mismatched = response_attempt_id.empty()
-                         ? IsSuccess(head.status)
+                         ? IsSuccess(head.status) || this->reused
                          : response_attempt_id != this->attempt_id;
   if (this->mismatched) {
     return;
