--- a/packages/relay/tests/relay/request_limit_test.cc
+++ b/packages/relay/tests/relay/request_limit_test.cc
@@ -27,6 +27,7 @@
 
 std::vector<std::string> MakeNames(int count) {
   std::vector<std::string> names;
+  names.reserve(static_cast<std::size_t>(count));
   for (int index = 0; index < count; ++index) {
     names.push_back("front-" + std::to_string(index));
   }
