Wait for a peer's newer configuration until a process is ready

Cause: a process that starts took a version for confirmed before any peer had reported, so an older answer of the store followed by a peer's newer version left it serving with the older one until its next comparison.

Change: until the process is ready for the first time, each report of a peer counts: with a newer version reported, the store must confirm the own one again. From then on a process serves with what it has.

Test: "A newer version of a peer is waited for until the process has started".

--- a/packages/relay/src/relay/entry_daemon.cc
+++ b/packages/relay/src/relay/entry_daemon.cc
@@ -109,13 +109,16 @@
   }
 
   bool IsReady() const {
-    return !this->relay.draining && this->watcher.has_configuration() &&
+    return !this->relay.draining && this->watcher.HasConfiguration() &&
            this->watcher.has_servers() && this->quarantine_store.loaded() &&
            this->gossip.has_joined();
   }
 
   void LogReadiness() {
     const bool ready = this->IsReady();
+    if (ready) {
+      this->watcher.MarkStarted();
+    }
     if (ready != std::exchange(this->was_ready, ready)) {
       this->events.Record(
           ready ? EventId::kDaemonReady : EventId::kDaemonUnready,
--- a/packages/relay/src/relay/store_watcher.cc
+++ b/packages/relay/src/relay/store_watcher.cc
@@ -187,8 +187,8 @@
   if (version != 0 && report.configuration_version == version) {
     freshness.RecordVerified(
         now - std::chrono::milliseconds(report.configuration_age_ms));
-    this->UpdateConfirmed();
   }
+  this->UpdateConfirmed();
   // If several processes of the zone poll the configuration, only the one with
   // the smallest name continues.
   if (report.reads_configuration && report.node < this->node &&
--- a/packages/relay/src/relay/store_watcher.h
+++ b/packages/relay/src/relay/store_watcher.h
@@ -141,8 +141,13 @@
   /// the log once per kStateLogInterval.
   void RecordConfigurationState();
 
-  /// Whether the store has confirmed the configuration since the start.
-  bool has_configuration() const { return this->configuration_confirmed; }
+  /// Whether the process has a configuration to serve with. Until MarkStarted,
+  /// the store must have confirmed it; see
+  /// ConfigurationFreshness::IsConfirmed.
+  bool HasConfiguration() const;
+  /// The process has become ready. From now on it serves with the configuration
+  /// that it has, also while it can't reach the store.
+  void MarkStarted();
   /// Whether the server list has been read at least once.
   bool has_servers() const { return this->servers_known; }
   /// Whether no peer has reported for kPeerTimeout.
@@ -244,9 +249,8 @@
   TimePoint peer_read_store_at{};
   /// Whether this process polls the configuration for its zone.
   bool reads_configuration = false;
-  std::string node;  ///< Name of this process in reports.
-  /// Whether the store has confirmed the configuration since the start.
-  bool configuration_confirmed = false;
+  std::string node;          ///< Name of this process in reports.
+  bool has_started = false;  ///< MarkStarted has been called.
   int pending_comparisons = 0;
   /// Pause after the last comparison, before jitter; zero unless it failed.
   Duration compare_backoff{};
--- a/packages/relay/src/relay/store_watcher_configuration.cc
+++ b/packages/relay/src/relay/store_watcher_configuration.cc
@@ -140,16 +140,24 @@
   return true;
 }
 
-void StoreWatcher::UpdateConfirmed() {
+bool StoreWatcher::HasConfiguration() const {
   const auto& active = this->relay.active_configuration;
-  if (active == nullptr || this->configuration_confirmed) {
-    return;
-  }
-  this->configuration_confirmed =
-      this->relay.configuration_freshness.IsConfirmed(
-          active->configuration.version);
-  this->relay.configuration_unconfirmed = !this->configuration_confirmed;
-  if (this->configuration_confirmed && this->on_change) {
+  return active != nullptr &&
+         (this->has_started || this->relay.configuration_freshness.IsConfirmed(
+                                   active->configuration.version));
+}
+
+void StoreWatcher::MarkStarted() {
+  this->has_started = true;
+  this->relay.configuration_unconfirmed = false;
+}
+
+void StoreWatcher::UpdateConfirmed() {
+  const bool unconfirmed = !this->HasConfiguration();
+  const bool changed =
+      unconfirmed !=
+      std::exchange(this->relay.configuration_unconfirmed, unconfirmed);
+  if (changed && this->on_change) {
     this->on_change();
   }
 }
--- a/packages/relay/tests/relay/late_configuration_test.cc
+++ b/packages/relay/tests/relay/late_configuration_test.cc
@@ -241,17 +241,41 @@
   harness.runtime.Advance(milliseconds(10));
   REQUIRE(active != nullptr);
   CHECK(active->configuration.version == 1);
-  CHECK_FALSE(watcher.has_configuration());
+  CHECK_FALSE(watcher.HasConfiguration());
   CHECK(harness.relay.configuration_unconfirmed);
   store.is_stale = false;
   harness.runtime.Advance(StoreWatcher::kCatchUpInterval);
   watcher.ApplyReport(report);
   harness.runtime.Advance(milliseconds(10));
   CHECK(active->configuration.version == 2);
-  CHECK(watcher.has_configuration());
+  CHECK(watcher.HasConfiguration());
   CHECK_FALSE(harness.relay.configuration_unconfirmed);
 }
 
+TEST_CASE(
+    "A newer version of a peer is waited for until the process has started",
+    "[relay][store]") {
+  Fixture fixture;
+  fixture.store.Write(2);
+  fixture.store.is_stale = true;
+  fixture.store.SilenceOpenConnections();
+  CHECK(fixture.watcher.HasConfiguration());
+  LoadReport report;
+  report.node = "peer";
+  report.configuration_version = 2;
+  SECTION("before, it does not serve with the older one") {
+    fixture.watcher.ApplyReport(report);
+    CHECK_FALSE(fixture.watcher.HasConfiguration());
+    CHECK(fixture.harness.relay.configuration_unconfirmed);
+  }
+  SECTION("later, it goes on with the version that it has") {
+    fixture.watcher.MarkStarted();
+    fixture.watcher.ApplyReport(report);
+    CHECK(fixture.watcher.HasConfiguration());
+    CHECK_FALSE(fixture.harness.relay.configuration_unconfirmed);
+  }
+}
+
 TEST_CASE("Comparisons of one process in a hundred seconds without a change",
           "[relay][store]") {
   Fixture fixture;
