Compare the server list while a poll is not answered

Cause: polls of the server list are up to 1.1 s apart and wait 1.5 s for an answer, so that the list can be 2.7 s old when an open connection has failed silently. Nothing bounded its age.

Ruled out: a shorter timeout of polls, since a slow store answers after 400 ms and each abandoned call counts against its rate limits.

Change: ComparisonSchedule, taken from ConfigurationFreshness, decides when a copy of the store's state is compared on a new connection. The server list is compared when its last proof is 0.6 of the new setting server_list_bound_ms old. A failed comparison is logged (7020).

--- a/packages/foundation/src/foundation/event.cc
+++ b/packages/foundation/src/foundation/event.cc
@@ -181,6 +181,10 @@
               "may send, `source` says who received the answer."},
     EventInfo{EventId::kServerLimitEnded, "server_limit_ended", Severity::kInfo,
               "A backend server's answers no longer name a limit on requests."},
+    EventInfo{EventId::kServerListReadFailed, "server_list_read_failed",
+              Severity::kWarning,
+              "A comparison of the server list with the store failed. Tried "
+              "again."},
 };
 
 }  // namespace
--- a/packages/foundation/src/foundation/event.h
+++ b/packages/foundation/src/foundation/event.h
@@ -88,6 +88,7 @@
   kConfigurationReadFailed = 7017,
   kServerLimited = 7018,
   kServerLimitEnded = 7019,
+  kServerListReadFailed = 7020,
 };
 
 /// Catalogue entry of an event.
--- a/packages/relay/src/relay/deployment_store.h
+++ b/packages/relay/src/relay/deployment_store.h
@@ -61,11 +61,16 @@
   /// can have failed silently.
   virtual Task<Result<ConfigurationSnapshot>> CompareConfiguration(
       std::uint64_t revision) = 0;
+  /// Uses a new connection.
   virtual Task<Result<ServerListUpdate>> ReadServers() = 0;
   /// Returns the changes after `revision` as soon as there are any, or an empty
   /// result after `wait`.
   virtual Task<Result<ServerListUpdate>> WatchServers(std::uint64_t revision,
                                                       Duration wait) = 0;
+  /// Returns the changes after `revision`, or an empty result at once. Uses a
+  /// new connection.
+  virtual Task<Result<ServerListUpdate>> CompareServers(
+      std::uint64_t revision) = 0;
 };
 
 /// Response of an engine to an order.
--- a/packages/relay/src/relay/entry_daemon.cc
+++ b/packages/relay/src/relay/entry_daemon.cc
@@ -101,6 +101,7 @@
     this->relay.response_limits = this->settings.response_limits;
     this->relay.configuration_freshness.SetBound(
         this->settings.configuration_bound);
+    this->watcher.SetServerListBound(this->settings.server_list_bound);
     services.engines->SetNoticeListener(this->server_notice_handler);
     this->relay.quarantine.SetListener(this);
     this->relay.limits.SetListener(this);
@@ -294,6 +295,7 @@
   self.Spawn(self.watcher.WatchConfiguration());
   self.Spawn(self.watcher.KeepConfigurationCurrent());
   self.Spawn(self.watcher.WatchServers());
+  self.Spawn(self.watcher.KeepServersCurrent());
   self.Spawn(self.HoldLease());
   self.Spawn(self.controller.Run());
   self.Spawn(self.LoadQuarantine());
@@ -308,6 +310,7 @@
   self.settings.grace_period = settings.grace_period;
   self.relay.retry_budget.SetLimits(settings.retry);
   self.relay.configuration_freshness.SetBound(settings.configuration_bound);
+  self.watcher.SetServerListBound(settings.server_list_bound);
   self.events.Record(EventId::kSettingsReloaded, {});
 }
 
--- a/packages/relay/src/relay/entry_settings.cc
+++ b/packages/relay/src/relay/entry_settings.cc
@@ -13,9 +13,10 @@
 
 /// Maximum of a duration in the settings, in milliseconds.
 constexpr double kMaxDurationMs = 600'000;
-/// Shortest bound on the age of the configuration, in milliseconds: a call to
-/// the store takes up to 400 ms during a disruption.
-constexpr double kMinConfigurationBoundMs = 500;
+/// Shortest time within which a change in the store can be required to be in
+/// force, in milliseconds: a call to the store takes up to 400 ms during a
+/// disruption.
+constexpr double kMinBoundMs = 500;
 /// Range of a limit on responses, in bytes; it catches mistaken units. Heads of
 /// normal responses fit into the minimum. A few requests that use the maximum
 /// fill the memory of a small VM.
@@ -27,6 +28,13 @@
       std::chrono::duration<double, std::milli>(value));
 }
 
+/// Time from a change in the store until it must be in force.
+Duration ParseBound(JsonReader& reader, const char* key, Duration fallback) {
+  return FromMillis(reader.NumberOr(
+      key, kMinBoundMs, kMaxDurationMs,
+      std::chrono::duration<double, std::milli>(fallback).count()));
+}
+
 std::string ParseAddress(JsonReader& reader, const char* key) {
   std::string address = reader.String(key);
   if (!address.empty() && !http::ParseEndpoint(address)) {
@@ -94,10 +102,10 @@
   });
   settings.grace_period =
       FromMillis(reader.Number("grace_period_ms", 0, kMaxDurationMs));
-  settings.configuration_bound = FromMillis(reader.NumberOr(
-      "configuration_bound_ms", kMinConfigurationBoundMs, kMaxDurationMs,
-      std::chrono::duration<double, std::milli>(kDefaultConfigurationBound)
-          .count()));
+  settings.configuration_bound =
+      ParseBound(reader, "configuration_bound_ms", kDefaultConfigurationBound);
+  settings.server_list_bound =
+      ParseBound(reader, "server_list_bound_ms", kDefaultServerListBound);
   ParseRetry(reader, settings.retry);
   ParseResponseLimits(reader, settings.response_limits);
   settings.log_level = ParseLogLevel(reader);
--- a/packages/relay/src/relay/entry_settings.h
+++ b/packages/relay/src/relay/entry_settings.h
@@ -5,7 +5,7 @@
 
 #include "foundation/clock.h"
 #include "foundation/error.h"
-#include "relay/configuration_freshness.h"
+#include "relay/comparison_schedule.h"
 #include "relay/response_limits.h"
 #include "relay/retry_budget.h"
 
@@ -25,6 +25,9 @@
   /// Time from the store's acknowledgement of a configuration change until the
   /// change must be in force at every process.
   Duration configuration_bound = kDefaultConfigurationBound;
+  /// Time from the store's acknowledgement of a change of the server list until
+  /// it must be in force at every process.
+  Duration server_list_bound = kDefaultServerListBound;
   RetryBudget::Limits retry;
   ResponseLimits response_limits;
   std::string log_level = "info";  ///< debug, info, warning or error.
--- a/packages/relay/src/relay/store_watcher.cc
+++ b/packages/relay/src/relay/store_watcher.cc
@@ -12,6 +12,12 @@
 
 namespace {
 
+/// Part of the longest pause after a failed comparison for each process of the
+/// zone.
+constexpr Duration kComparePausePerProcess = std::chrono::milliseconds(100);
+/// Comparisons of one kind that can wait for an answer at the same time.
+constexpr int kMaxPendingComparisons = 2;
+
 /// Keeps only the last entry of each server. One response can contain both the
 /// listing and the removal of a server. StoreWatcher::RecordOwnUpdate compares
 /// each entry with the server list in use before the response, so it would
@@ -34,12 +40,6 @@
                            DeploymentStore& source)
     : relay(context), clock(time), store(source) {}
 
-Task<Result<ServerListUpdate>> StoreWatcher::FetchServers() {
-  return this->server_revision
-             ? this->store.WatchServers(*this->server_revision, Duration{0})
-             : this->store.ReadServers();
-}
-
 Task<void> StoreWatcher::WatchServers() {
   while (true) {
     const Duration pause = co_await this->PollServers();
@@ -71,7 +71,7 @@
 Task<void> StoreWatcher::WaitForStaleServers(Duration age) {
   // Each poll of a peer postpones the next poll of this process.
   while (true) {
-    const TimePoint due = this->servers_verified_at + age;
+    const TimePoint due = this->server_freshness.verified_at() + age;
     const TimePoint now = this->clock.Now();
     if (now >= due) {
       co_return;
@@ -81,15 +81,95 @@
 }
 
 Task<Duration> StoreWatcher::PollServers() {
+  const auto applied = co_await this->FetchServers(false);
+  if (!applied) {
+    co_return this->RecordFailure(applied.error());
+  }
+  const Duration pause = kServerPollInterval +
+                         Duration(std::uniform_int_distribution<Duration::rep>(
+                             0, kServerPollJitter.count())(this->relay.random));
+  if (!applied.value()) {
+    // A peer's report can have updated the list during the call.
+    co_await SleepFor(this->clock, kServerPollInterval);
+  }
+  co_return pause;
+}
+
+Task<void> StoreWatcher::KeepServersCurrent() {
+  return this->KeepCurrent(this->server_freshness, this->server_comparisons,
+                           &StoreWatcher::has_servers,
+                           &StoreWatcher::CompareServers);
+}
+
+Task<void> StoreWatcher::CompareServers() {
+  Comparisons& comparisons = this->server_comparisons;
+  ++comparisons.pending;
+  const auto applied = co_await this->FetchServers(true);
+  --comparisons.pending;
+  if (applied) {
+    comparisons.backoff = Duration{0};
+    co_return;
+  }
+  this->relay.events.Record(
+      EventId::kServerListReadFailed,
+      {{"step", applied.error().step}, {"detail", applied.error().detail}});
+  this->DelayComparison(comparisons);
+}
+
+Task<void> StoreWatcher::KeepCurrent(const ComparisonSchedule& schedule,
+                                     const Comparisons& comparisons,
+                                     bool (StoreWatcher::*is_known)() const,
+                                     Task<void> (StoreWatcher::*compare)()) {
+  while (true) {
+    const double jitter =
+        std::uniform_real_distribution<double>(0, 1)(this->relay.random);
+    while (true) {
+      const TimePoint due =
+          std::max(schedule.ComparisonDue(jitter), comparisons.not_before);
+      const bool known = (this->*is_known)();
+      if (known && this->clock.Now() >= due) {
+        break;
+      }
+      co_await SleepFor(this->clock, known ? due - this->clock.Now()
+                                           : schedule.RetryInterval());
+    }
+    if (comparisons.pending < kMaxPendingComparisons) {
+      asio::co_spawn(this->relay.io, (this->*compare)(), asio::detached);
+    }
+    co_await SleepFor(this->clock, schedule.RetryInterval());
+  }
+}
+
+void StoreWatcher::DelayComparison(Comparisons& comparisons) {
+  // The processes of a zone together make about ten calls a second.
+  const auto scaled = std::chrono::duration_cast<Duration>(
+      kComparePausePerProcess * this->relay.processes_in_zone);
+  comparisons.backoff =
+      std::clamp(comparisons.backoff * 2, kInitialBackoff,
+                 this->HasRecentPeerReport() ? std::max(kMaxBackoff, scaled)
+                                             : kMaxBackoff);
+  // Jitter keeps processes that failed together from retrying together.
+  const double jitter =
+      std::uniform_real_distribution<double>(0.75, 1.25)(this->relay.random);
+  comparisons.not_before =
+      this->clock.Now() +
+      std::chrono::duration_cast<Duration>(comparisons.backoff * jitter);
+}
+
+Task<Result<bool>> StoreWatcher::FetchServers(bool is_comparison) {
   const bool is_full = !this->server_revision.has_value();
   const std::uint64_t known_revision = this->server_revision.value_or(0);
   const TimePoint requested_at = this->clock.Now();
-  auto list_update = co_await this->FetchServers();
+  auto call = is_full ? this->store.ReadServers()
+              : is_comparison
+                  ? this->store.CompareServers(known_revision)
+                  : this->store.WatchServers(known_revision, Duration{0});
+  auto list_update = co_await std::move(call);
   if (!list_update) {
     if (list_update.error().code == ErrorCode::kNotFound) {
       this->server_revision.reset();
     }
-    co_return this->RecordFailure(list_update.error());
+    co_return list_update.error();
   }
   this->RecordSuccess();
   for (const auto& [id, detail] : list_update.value().unreadable) {
@@ -97,14 +177,8 @@
                               {{"entry", id}, {"detail", detail}});
   }
   RemoveSupersededEntries(list_update.value().entries);
-  const Duration pause = kServerPollInterval +
-                         Duration(std::uniform_int_distribution<Duration::rep>(
-                             0, kServerPollJitter.count())(this->relay.random));
   if (list_update.value().revision < this->applied_server_revision) {
-    // The response is older than the list in use, which a peer's report can
-    // have updated during the call.
-    co_await SleepFor(this->clock, kServerPollInterval);
-    co_return pause;
+    co_return false;
   }
   // RecordOwnUpdate compares the response with the list in use, which must
   // still have the revision that the response starts from.
@@ -116,11 +190,11 @@
       list_update.value().revision);
   this->server_revision = list_update.value().revision;
   this->applied_server_revision = list_update.value().revision;
-  this->servers_verified_at = requested_at;
+  this->server_freshness.RecordVerified(requested_at);
   if (this->on_servers_polled) {
     this->on_servers_polled();
   }
-  co_return pause;
+  co_return true;
 }
 
 bool StoreWatcher::IsChange(const ServerEntry& entry) const {
@@ -157,7 +231,7 @@
       AgeMillis(now, this->relay.configuration_freshness.verified_at());
   report.reads_configuration = this->reads_configuration;
   report.server_revision = this->applied_server_revision;
-  report.server_age_ms = AgeMillis(now, this->servers_verified_at);
+  report.server_age_ms = AgeMillis(now, this->server_freshness.verified_at());
   for (const auto& [at, update] : this->own_updates) {
     if (now - at <= kUpdateRepeatTime) {
       report.updates.push_back(update);
@@ -202,10 +276,8 @@
     this->ApplyUpdate(update);
   }
   if (report.server_revision == this->applied_server_revision) {
-    const TimePoint verified_at =
-        now - std::chrono::milliseconds(report.server_age_ms);
-    this->servers_verified_at =
-        std::max(this->servers_verified_at, verified_at);
+    this->server_freshness.RecordVerified(
+        now - std::chrono::milliseconds(report.server_age_ms));
   }
 }
 
--- a/packages/relay/src/relay/store_watcher.h
+++ b/packages/relay/src/relay/store_watcher.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "relay/comparison_schedule.h"
 #include "relay/deployment_store.h"
 #include "relay/load_gossip.h"
 #include "relay/relay.h"
@@ -17,7 +18,7 @@
 ///
 /// While the store does not answer, both keep their last state. A configuration
 /// is replaced only by one with a higher version. A change is in force within
-/// the bound of ConfigurationFreshness, also if the long poll for changes fails
+/// the bound of its ComparisonSchedule, also if connections to the store fail
 /// silently.
 ///
 /// Processes share the server list that they have read: a process does not poll
@@ -72,6 +73,10 @@
   /// Maximum random addition to kServerPollInterval, so that one process polls
   /// and the others receive its report before they poll.
   static constexpr Duration kServerPollJitter = std::chrono::milliseconds(500);
+  /// Age of the last proof that the server list is current at which it is
+  /// compared, as a share of the bound. Later than the longest time between two
+  /// polls, so that a comparison replaces a poll that is not answered.
+  static constexpr double kMaxServerAgeShare = 0.6;
   /// Time for which a server list update is repeated in reports, since a
   /// datagram can be lost.
   static constexpr Duration kUpdateRepeatTime = std::chrono::milliseconds(700);
@@ -122,6 +127,8 @@
   /// neither a long poll nor a report of a peer has shown for some time that it
   /// is current. See ConfigurationFreshness.
   Task<void> KeepConfigurationCurrent();
+  /// Does the same for the server list.
+  Task<void> KeepServersCurrent();
   /// Polls the server list until the process ends.
   Task<void> WatchServers();
 
@@ -132,6 +139,12 @@
   /// until the next call.
   Task<Duration> PollServers();
 
+  /// Sets the time from the acknowledgement of a change of the server list
+  /// until it must be in force.
+  void SetServerListBound(Duration bound) {
+    this->server_freshness.SetBound(bound);
+  }
+
   /// Applies what the sender of `report` has read from the store.
   void ApplyReport(const LoadReport& report);
   /// Adds to `report` what this process has read from the store.
@@ -161,6 +174,14 @@
   std::function<void()> on_servers_polled;
 
  private:
+  /// State of the comparisons of the configuration or of the server list.
+  struct Comparisons {
+    int pending = 0;
+    /// Pause after the last one, before jitter; zero unless it failed.
+    Duration backoff{};
+    TimePoint not_before{};  ///< End of the pause after a failed one.
+  };
+
   /// A call to the store for the configuration.
   struct ConfigurationRead {
     TimePoint began{};
@@ -187,10 +208,18 @@
                            const ConfigurationRead& read, TimePoint as_of);
   /// Updates RelayContext::configuration_unconfirmed.
   void UpdateConfirmed();
-  TimePoint ComparisonDue(double jitter) const;
+  /// Calls `compare` whenever a comparison is due, as long as `is_known` holds.
+  Task<void> KeepCurrent(const ComparisonSchedule& schedule,
+                         const Comparisons& comparisons,
+                         bool (StoreWatcher::*is_known)() const,
+                         Task<void> (StoreWatcher::*compare)());
   Task<void> CompareConfiguration();
-  /// Pause after a comparison that failed or proved nothing.
-  Duration NextComparePause();
+  Task<void> CompareServers();
+  /// Sets the pause after a comparison that failed or proved nothing.
+  void DelayComparison(Comparisons& comparisons);
+  bool has_configuration() const {
+    return this->relay.active_configuration != nullptr;
+  }
   /// Reads the configuration after a peer has reported a newer version.
   Task<void> CatchUpConfiguration();
   /// Waits until no process has read the server list for `age`.
@@ -206,7 +235,10 @@
   void RecordOwnUpdate(std::uint64_t from, const ServerListUpdate& list_update);
   /// Whether `entry` differs from the server list in use.
   bool IsChange(const ServerEntry& entry) const;
-  Task<Result<ServerListUpdate>> FetchServers();
+  /// Reads the changes of the server list, or the whole list, and applies them.
+  /// `is_comparison`: on a new connection. Returns false if the answer is older
+  /// than the list in use.
+  Task<Result<bool>> FetchServers(bool is_comparison);
   /// `cause`: why the configuration was read.
   void ApplyConfiguration(const ConfigurationSnapshot& snapshot,
                           std::string_view cause);
@@ -240,9 +272,8 @@
   bool store_available = true;
   /// Revision of the server list in use.
   std::uint64_t applied_server_revision = 0;
-  /// Latest time at which the server list in use was known to equal the list in
-  /// the store.
-  TimePoint servers_verified_at{};
+  ComparisonSchedule server_freshness{kDefaultServerListBound,
+                                      kMaxServerAgeShare};
   /// Time of the last report received from any peer.
   std::optional<TimePoint> last_peer_report_at;
   /// Latest time at which a peer read the server list from the store.
@@ -251,11 +282,8 @@
   bool reads_configuration = false;
   std::string node;          ///< Name of this process in reports.
   bool has_started = false;  ///< MarkStarted has been called.
-  int pending_comparisons = 0;
-  /// Pause after the last comparison, before jitter; zero unless it failed.
-  Duration compare_backoff{};
-  /// End of the pause after a failed comparison.
-  TimePoint compare_not_before{};
+  Comparisons configuration_comparisons;
+  Comparisons server_comparisons;
   /// Time of the last log line about the configuration in use.
   std::optional<TimePoint> state_logged_at;
   /// Time of the last read caused by a peer's newer configuration version.
--- a/packages/relay/src/relay/store_watcher_configuration.cc
+++ b/packages/relay/src/relay/store_watcher_configuration.cc
@@ -14,11 +14,6 @@
 /// Pause after an answer that proves nothing: it shows an older state of the
 /// store than an earlier answer, or a version that can't be read.
 constexpr Duration kUnusableAnswerPause = std::chrono::milliseconds(500);
-/// Part of the longest pause after a failed comparison for each process of the
-/// zone.
-constexpr Duration kComparePausePerProcess = std::chrono::milliseconds(100);
-/// Comparisons that can wait for an answer at the same time.
-constexpr int kMaxPendingComparisons = 2;
 
 }  // namespace
 
@@ -163,40 +158,21 @@
 }
 
 Task<void> StoreWatcher::KeepConfigurationCurrent() {
-  ConfigurationFreshness& freshness = this->relay.configuration_freshness;
-  while (true) {
-    const double jitter =
-        std::uniform_real_distribution<double>(0, 1)(this->relay.random);
-    while (this->relay.active_configuration == nullptr ||
-           this->clock.Now() < this->ComparisonDue(jitter)) {
-      const Duration pause =
-          this->relay.active_configuration == nullptr
-              ? freshness.RetryInterval()
-              : this->ComparisonDue(jitter) - this->clock.Now();
-      co_await SleepFor(this->clock, pause);
-    }
-    if (this->pending_comparisons < kMaxPendingComparisons) {
-      asio::co_spawn(this->relay.io, this->CompareConfiguration(),
-                     asio::detached);
-    }
-    co_await SleepFor(this->clock, freshness.RetryInterval());
-  }
-}
-
-TimePoint StoreWatcher::ComparisonDue(double jitter) const {
-  return std::max(this->relay.configuration_freshness.ComparisonDue(jitter),
-                  this->compare_not_before);
+  return this->KeepCurrent(
+      this->relay.configuration_freshness, this->configuration_comparisons,
+      &StoreWatcher::has_configuration, &StoreWatcher::CompareConfiguration);
 }
 
 Task<void> StoreWatcher::CompareConfiguration() {
-  ++this->pending_comparisons;
+  Comparisons& comparisons = this->configuration_comparisons;
+  ++comparisons.pending;
   const ConfigurationRead read = this->BeginRead("comparison");
   auto call =
       this->configuration_revision
           ? this->store.CompareConfiguration(*this->configuration_revision)
           : this->store.ReadConfiguration();
   const auto snapshot = co_await std::move(call);
-  --this->pending_comparisons;
+  --comparisons.pending;
   if (!snapshot) {
     this->LogFailedRead(snapshot.error(), read);
     if (snapshot.error().code == ErrorCode::kNotFound) {
@@ -206,30 +182,16 @@
   }
   if (!snapshot ||
       !this->AcceptConfiguration(snapshot.value(), read, read.began)) {
-    this->compare_not_before = this->clock.Now() + this->NextComparePause();
+    this->DelayComparison(comparisons);
     co_return;
   }
-  this->compare_backoff = Duration{0};
+  comparisons.backoff = Duration{0};
   this->RecordSuccess();
   if (this->on_servers_polled) {
     this->on_servers_polled();
   }
 }
 
-Duration StoreWatcher::NextComparePause() {
-  // The processes of a zone together make about ten calls a second.
-  const auto scaled = std::chrono::duration_cast<Duration>(
-      kComparePausePerProcess * this->relay.processes_in_zone);
-  this->compare_backoff =
-      std::clamp(this->compare_backoff * 2, kInitialBackoff,
-                 this->HasRecentPeerReport() ? std::max(kMaxBackoff, scaled)
-                                             : kMaxBackoff);
-  // Jitter keeps processes that failed together from retrying together.
-  const double jitter =
-      std::uniform_real_distribution<double>(0.75, 1.25)(this->relay.random);
-  return std::chrono::duration_cast<Duration>(this->compare_backoff * jitter);
-}
-
 void StoreWatcher::LogFailedRead(const Error& error,
                                  const ConfigurationRead& read) {
   this->relay.events.Record(
--- a/packages/relay/tests/relay/late_configuration_test.cc
+++ b/packages/relay/tests/relay/late_configuration_test.cc
@@ -84,6 +84,9 @@
                                               Duration) override {
     return this->ReadServers();
   }
+  Task<Result<ServerListUpdate>> CompareServers(std::uint64_t) override {
+    return this->ReadServers();
+  }
 
   Clock& clock;
   std::uint64_t version = 1;
--- a/packages/relay/tests/relay/store_watcher_test.cc
+++ b/packages/relay/tests/relay/store_watcher_test.cc
@@ -44,6 +44,9 @@
                                               Duration) override {
     co_return this->Next(this->server_updates, after);
   }
+  Task<Result<ServerListUpdate>> CompareServers(std::uint64_t after) override {
+    co_return this->Next(this->server_updates, after);
+  }
 
   std::deque<Result<ConfigurationSnapshot>> configurations;
   std::deque<Result<ServerListUpdate>> server_updates;
