Keep the lease with its last holder when the table is restored

Cause: an item of the lease counted whatever its era. After a restore an earlier holder found its own name and renewed at once, a released or missing item was taken at once, and a conditional write could hold by chance, while the last holder still relied on its term. Fencing numbers were given out twice.

Change: StoreEra judges answers by their era.

Tried and dropped: trusting a missing item in the first era that a process sees. The property found two holders when the first answer of a process came after a restore.

--- a/packages/relay/src/relay/relay.h
+++ b/packages/relay/src/relay/relay.h
@@ -23,6 +23,7 @@
 #include "relay/stalled_request_finder.h"
 #include "relay/timer_queue.h"
 #include "relay/upstream_pool.h"
+#include "storage/store_era.h"
 
 namespace qp::relay {
 
@@ -66,6 +67,7 @@
   std::mt19937_64 random;
   /// Null until the first configuration has been read.
   std::shared_ptr<const ActiveConfiguration> active_configuration;
+  StoreEra store_era;
   ConfigurationFreshness configuration_freshness{kDefaultConfigurationBound};
   /// Set while this process has only a configuration that can be older than the
   /// one in the store: none has been confirmed since the process started.
