Write registrations and quarantined parts again after a restore

Cause: EntryRegistry wrote its row once, so a process that the copy lacked was never counted again and one that had left was counted for ever. QuarantineStore wrote a part once and took released parts of the copy for quarantined ones.

Change: each process registers again in a new era and states the era in its row; rows of earlier eras count for 30 s. The quarantined parts are read again after a random delay, what is missing is written and what was released is removed.

--- a/packages/relay/src/relay/entry_registry.cc
+++ b/packages/relay/src/relay/entry_registry.cc
@@ -1,6 +1,8 @@
 #include "relay/entry_registry.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 
 #include "foundation/wait.h"
 
@@ -14,12 +16,14 @@
 // initializer list in a coroutine twice.
 std::vector<TableOperation> MakeRegistration(const std::string& node,
                                              const std::string& zone,
-                                             const std::string& address) {
+                                             const std::string& address,
+                                             std::uint64_t era) {
   TableOperation operation;
   operation.key = kPrefix + node;
   operation.put.emplace();
   (*operation.put)["availability_zone"] = zone;
   (*operation.put)["address"] = address;
+  (*operation.put)["era"] = era;
   return Single(std::move(operation));
 }
 
@@ -39,30 +43,62 @@
       table(service),
       gossip(load_gossip),
       node(std::move(name)),
-      address(std::move(peer_address)) {}
+      address(std::move(peer_address)),
+      era_began(time.Now()) {
+  this->relay.store_era.AddListener(*this);
+}
 
 Task<void> EntryRegistry::Run() {
+  co_await this->Register();
   while (!this->relay.draining) {
+    const bool counted = co_await this->CountProcesses();
+    const TimePoint counted_at = this->clock.Now();
+    this->counts += counted ? 1 : 0;
+    // A restore shortens the pause.
+    while (!this->relay.draining &&
+           this->clock.Now() < counted_at + this->NextPause(counted)) {
+      co_await SleepFor(this->clock, kRetryInterval);
+    }
+  }
+}
+
+Duration EntryRegistry::NextPause(bool counted) {
+  if (!counted) {
+    return kRetryInterval;
+  }
+  if (this->counts < kInitialCounts) {
+    return kInitialInterval;
+  }
+  const auto scaled = std::chrono::duration_cast<Duration>(
+      kIntervalPerProcess * this->relay.processes_in_zone);
+  return std::max(kInterval, scaled);
+}
+
+Task<void> EntryRegistry::Register() {
+  if (std::exchange(this->registering, true)) {
+    co_return;
+  }
+  while (this->must_register && !this->relay.draining) {
+    this->must_register = false;
+    const std::uint64_t era = this->relay.store_era.current();
     auto operations = MakeRegistration(
-        this->node, this->relay.availability_zone, this->address);
+        this->node, this->relay.availability_zone, this->address, era);
     const auto written = co_await this->table.Transact(TransactMode::kAll,
                                                        std::move(operations));
-    if (written) {
-      break;
+    if (!written) {
+      co_await SleepFor(this->clock, kRetryInterval);
     }
-    co_await SleepFor(this->clock, kRetryInterval);
-  }
-  int counts = 0;
-  while (!this->relay.draining) {
-    const bool counted = co_await this->CountProcesses();
-    counts += counted ? 1 : 0;
-    const auto scaled = std::chrono::duration_cast<Duration>(
-        kIntervalPerProcess * this->relay.processes_in_zone);
-    const Duration pause = counts < kInitialCounts
-                               ? kInitialInterval
-                               : std::max(kInterval, scaled);
-    co_await SleepFor(this->clock, counted ? pause : kRetryInterval);
+    // The first answer of all names the era.
+    this->must_register |= !written || era != this->relay.store_era.current();
   }
+  this->registering = false;
+}
+
+void EntryRegistry::OnStoreRestored(std::uint64_t) {
+  this->era_began = this->clock.Now();
+  this->counts = 0;
+  this->must_register = true;
+  asio::co_spawn(this->relay.io, this->Register(), asio::detached);
 }
 
 Task<bool> EntryRegistry::CountProcesses() {
@@ -75,18 +111,24 @@
   std::map<std::string, std::string> zone_by_address;
   std::vector<std::string> names;
   const std::size_t prefix_size = std::string_view(kPrefix).size();
+  const bool may_rejoin = this->clock.Now() - this->era_began < kRejoinTime;
   for (const auto& item : items.value()) {
+    const bool is_current = item.value.value("era", std::uint64_t{0}) >=
+                            this->relay.store_era.current();
+    if (!is_current && !may_rejoin) {
+      continue;
+    }
     const auto zone = item.value.value("availability_zone", std::string());
     processes_in_own_zone += zone == this->relay.availability_zone ? 1 : 0;
     names.push_back(item.key.substr(prefix_size));
     zone_by_address[item.value.value("address", std::string())] = zone;
   }
   this->relay.processes_in_zone = std::max(1.0, processes_in_own_zone);
+  const std::size_t count = names.size();
   this->relay.limits.SetProcesses(this->node, std::move(names),
                                   this->clock.Now());
   this->gossip.SetPeers(std::move(zone_by_address));
-  this->relay.retry_budget.SetProcessCount(
-      std::max<std::size_t>(1, items.value().size()));
+  this->relay.retry_budget.SetProcessCount(std::max<std::size_t>(1, count));
   co_return true;
 }
 
--- a/packages/relay/src/relay/entry_registry.h
+++ b/packages/relay/src/relay/entry_registry.h
@@ -4,6 +4,7 @@
 
 #include "relay/load_gossip.h"
 #include "relay/relay.h"
+#include "storage/store_era.h"
 #include "storage/table.h"
 
 namespace qp::relay {
@@ -11,7 +12,12 @@
 /// Counts the processes of the deployment by their items in the table. Shared
 /// limits are divided by the count, so a stale item of a dead process can only
 /// tighten them.
-class EntryRegistry {
+///
+/// A table that is restored from a copy can lack items of live processes and
+/// show items of stopped ones. Each item states the era of the table in which
+/// it was written: every process writes its own again in a new era, and items
+/// of earlier eras stop counting after kRejoinTime.
+class EntryRegistry : public RestoreListener {
  public:
   /// Time between two counts. A new process uses its part of the shared limits
   /// at once; the others reduce their parts within this time.
@@ -26,6 +32,10 @@
   /// starts, all processes have registered by the end of this time.
   static constexpr Duration kInitialInterval = std::chrono::seconds(3);
   static constexpr int kInitialCounts = 2;
+  /// Time after a restore, or after the start of this process, for which items
+  /// of earlier eras count. A process that is cut off from the table keeps its
+  /// part of the shared limits, so its item counts while that is likely.
+  static constexpr Duration kRejoinTime = std::chrono::seconds(30);
 
   EntryRegistry(RelayContext& relay, Clock& clock, Table& table,
                 LoadGossip& gossip, std::string node, std::string address);
@@ -34,8 +44,14 @@
   Task<void> Run();
   /// Removes the item of this process.
   Task<void> Unregister();
+  /// Registers this process again and counts soon.
+  void OnStoreRestored(std::uint64_t era) override;
 
  private:
+  /// Writes the item of this process until that has succeeded.
+  Task<void> Register();
+  /// Time until the next count.
+  Duration NextPause(bool counted);
   /// Returns false if the table could not be read.
   Task<bool> CountProcesses();
 
@@ -45,6 +61,11 @@
   LoadGossip& gossip;
   std::string node;
   std::string address;  ///< Address for load reports of peers.
+  bool registering = false;
+  bool must_register = true;  ///< The item has to be written again.
+  /// Counts since the start or the last restore.
+  int counts = 0;
+  TimePoint era_began{};  ///< Start, or time at which the era was first seen.
 };
 
 }  // namespace qp::relay
--- a/packages/relay/src/relay/quarantine_store.cc
+++ b/packages/relay/src/relay/quarantine_store.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <random>
 #include <utility>
 
 #include "foundation/wait.h"
@@ -47,7 +48,65 @@
 
 QuarantineStore::QuarantineStore(RelayContext& context, Clock& time,
                                  Table& service)
-    : relay(context), clock(time), table(service) {}
+    : relay(context), clock(time), table(service) {
+  this->relay.store_era.AddListener(*this);
+}
+
+void QuarantineStore::RecordQuarantined(std::string_view part) {
+  this->quarantined.emplace(part);
+  const auto found = this->released.find(part);
+  if (found != this->released.end()) {
+    this->released.erase(found);
+  }
+}
+
+void QuarantineStore::RecordReleased(std::string_view part) {
+  const auto found = this->quarantined.find(part);
+  if (found != this->quarantined.end()) {
+    this->quarantined.erase(found);
+  }
+  if (this->released.size() < kMaxReleased) {
+    this->released.emplace(part);
+  }
+}
+
+void QuarantineStore::OnStoreRestored(std::uint64_t) {
+  if (!std::exchange(this->reconciling, true)) {
+    asio::co_spawn(this->relay.io, this->Reconcile(), asio::detached);
+  }
+}
+
+Task<void> QuarantineStore::Reconcile() {
+  std::uint64_t era = 0;
+  do {
+    era = this->relay.store_era.current();
+    const auto delay = std::uniform_int_distribution<Duration::rep>(
+        0, kMaxRestoreDelay.count())(this->relay.random);
+    co_await SleepFor(this->clock, Duration(delay));
+    std::string prefix(kPrefix);
+    const auto items = co_await this->table.Scan(std::move(prefix));
+    if (!items) {
+      this->RecordFailure(items.error());
+      era = 0;
+      continue;
+    }
+    std::set<std::string, std::less<>> stored;
+    for (const auto& item : items.value()) {
+      stored.insert(item.key.substr(kPrefix.size()));
+    }
+    for (const auto& part : this->quarantined) {
+      if (!stored.contains(part)) {
+        this->Save(part);
+      }
+    }
+    for (const auto& part : stored) {
+      if (this->released.contains(part)) {
+        this->Save(part);
+      }
+    }
+  } while (era != this->relay.store_era.current());
+  this->reconciling = false;
+}
 
 void QuarantineStore::RecordFailure(const Error& error) {
   this->relay.events.Record(
@@ -74,6 +133,9 @@
     co_return false;
   }
   for (const auto& item : items.value()) {
+    if (this->released.contains(item.key.substr(kPrefix.size()))) {
+      continue;  // A restored table shows parts that were released.
+    }
     try {
       this->relay.quarantine.Restore(ParseItem(item), this->relay.Now());
     } catch (const nlohmann::json::exception& failure) {
