Read the store anew in each era

What callers saw: after the store had come back from a copy, a request reached a server 2,033 to 2,371 ms after its draining entry was acknowledged (2,000 allowed).

Cause: revisions were compared as if they only grew. Every answer below the newest revision ever seen was rejected, so the list of servers stood still; a poll that was continued after the store had counted past its revision missed what was written between.

The first answer of a later era makes StoreWatcher read configuration and list as a whole. Reports name the era. RestoredServers holds back entries of the copy that are older than what is known. While the store has an older configuration than is in force, nothing counts as a comparison, and a process that starts waits for its peers' version. Reports include entries that are no change for the sender but can be one for a peer. Report format 8, setting first_start, events 7021 and 7022.

Ruled out: trusting the era in a peer's report, since reports are unsigned; it causes a read of the store.

--- a/packages/foundation/src/foundation/event.cc
+++ b/packages/foundation/src/foundation/event.cc
@@ -185,6 +185,13 @@
               Severity::kWarning,
               "A comparison of the server list with the store failed. Tried "
               "again."},
+    EventInfo{EventId::kStoreRestored, "store_restored", Severity::kWarning,
+              "The store was restored from a copy, so what was written to it "
+              "last is lost; `era` counts the restores."},
+    EventInfo{EventId::kRestoredEntryHeld, "restored_entry_held",
+              Severity::kInfo,
+              "The restored store lists an older state of a backend server "
+              "than is known; it is not used until the server writes again."},
 };
 
 }  // namespace
--- a/packages/foundation/src/foundation/event.h
+++ b/packages/foundation/src/foundation/event.h
@@ -89,6 +89,8 @@
   kServerLimited = 7018,
   kServerLimitEnded = 7019,
   kServerListReadFailed = 7020,
+  kStoreRestored = 7021,
+  kRestoredEntryHeld = 7022,
 };
 
 /// Catalogue entry of an event.
--- a/packages/relay/src/relay/configuration_freshness.cc
+++ b/packages/relay/src/relay/configuration_freshness.cc
@@ -17,8 +17,9 @@
 }
 
 bool ConfigurationFreshness::IsConfirmed(std::uint64_t version) const {
-  return this->is_verified() && (this->peer_version <= version ||
-                                 this->verified_at() > this->peer_version_at);
+  return this->is_verified() &&
+         (this->peer_version <= version ||
+          this->verified_at() >= this->peer_version_at + kMaxPeerVersionWait);
 }
 
 TimePoint TimeOfPollAnswer(TimePoint began, Duration wait, TimePoint now,
--- a/packages/relay/src/relay/configuration_freshness.h
+++ b/packages/relay/src/relay/configuration_freshness.h
@@ -19,15 +19,23 @@
   explicit ConfigurationFreshness(Duration time_bound)
       : ComparisonSchedule(time_bound, kMaxAgeShare) {}
 
-  /// Newest revision of the store that any answer has shown so far.
+  /// Time for which a process that starts waits for a version that peers have
+  /// reported and that a restored store doesn't show. Operators write their
+  /// last version again after a restore.
+  static constexpr Duration kMaxPeerVersionWait = std::chrono::seconds(10);
+
+  /// Newest revision of the store that any answer has shown in its era.
   std::uint64_t store_revision() const { return this->newest_revision; }
+  /// The store was restored: revisions begin anew.
+  void ResetStoreRevision() { this->newest_revision = 0; }
   void RecordStoreRevision(std::uint64_t revision);
 
   /// A peer uses `version`.
   void RecordPeerVersion(std::uint64_t version, TimePoint now);
-  /// Whether the store has confirmed `version`, and has done so again since a
-  /// peer first reported a newer one. Keeps a process that starts from serving
-  /// with an older version that an answer of the store still showed.
+  /// Whether the store has confirmed `version` and no peer has reported a newer
+  /// one. Keeps a process that starts from serving with an older version that
+  /// an answer of the store still showed. The newer version counts for
+  /// kMaxPeerVersionWait if the store doesn't have it.
   bool IsConfirmed(std::uint64_t version) const;
 
  private:
--- a/packages/relay/src/relay/deployment.cc
+++ b/packages/relay/src/relay/deployment.cc
@@ -1,9 +1,19 @@
 #include "relay/deployment.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace qp::relay {
 
+bool ServerRecord::operator==(const ServerRecord& other) const {
+  const auto members = [](const ServerRecord& record) {
+    return std::tie(record.id, record.service, record.address,
+                    record.availability_zone, record.slots, record.draining,
+                    record.incarnation, record.accelerator, record.layers);
+  };
+  return members(*this) == members(other);
+}
+
 std::uint32_t EngineProfile::LayersThatFit(std::string_view kind,
                                            double kv_tokens) const {
   const auto found = this->accelerators.find(kind);
--- a/packages/relay/src/relay/deployment.h
+++ b/packages/relay/src/relay/deployment.h
@@ -141,8 +141,11 @@
   std::int64_t incarnation = 0;  ///< Wall-clock time of the server's start.
   std::string accelerator;       ///< Kind; empty for servers without layers.
   LayerRange layers;             ///< Layers that an engine holds.
+  /// Number of heartbeats of this incarnation up to the entry.
+  std::uint64_t heartbeats = 0;
 
-  bool operator==(const ServerRecord&) const = default;
+  /// Compares all members but the heartbeats, which alone are no change.
+  bool operator==(const ServerRecord& other) const;
 };
 
 }  // namespace qp::relay
--- a/packages/relay/src/relay/deployment_store.h
+++ b/packages/relay/src/relay/deployment_store.h
@@ -17,6 +17,7 @@
 /// State of the configuration in the store at a revision.
 struct ConfigurationSnapshot {
   std::uint64_t revision = 0;
+  std::uint64_t era = 0;  ///< Era of the store; 0 if unknown.
   /// Empty if the configuration has not changed since the revision of the call,
   /// or if none was ever written.
   std::optional<DeploymentConfiguration> configuration;
@@ -40,6 +41,7 @@
 /// revision.
 struct ServerListUpdate {
   std::uint64_t revision = 0;
+  std::uint64_t era = 0;  ///< Era of the store; 0 if unknown.
   std::vector<ServerEntry> entries;
   /// Reasons why entries describe no usable server, by id.
   std::map<std::string, std::string> unreadable;
--- a/packages/relay/src/relay/entry_daemon.cc
+++ b/packages/relay/src/relay/entry_daemon.cc
@@ -87,7 +87,8 @@
         listener(relay),
         watcher(relay, time, *services.store),
         lease(*services.table, time, events, "lease/layers",
-              settings.node + "/" + std::to_string(seed), kLayerLease),
+              settings.node + "/" + std::to_string(seed), kLayerLease,
+              &relay.store_era),
         controller(relay, time, *services.engines, lease),
         server_notice_handler(relay),
         gossip(relay, time, settings.node, *this),
@@ -97,6 +98,8 @@
         status(relay.metrics, [this] { return this->IsReady(); }),
         readiness(context, time, http::ServerLimits{}, status),
         metrics(context, time, http::ServerLimits{}, status) {
+    services.era_source->SetAnswerObserver(this->relay.store_era);
+    this->lease.SetFirstStart(this->settings.first_start);
     this->relay.engines = services.engines;
     this->relay.response_limits = this->settings.response_limits;
     this->relay.configuration_freshness.SetBound(
@@ -169,6 +172,7 @@
                         {{"part", std::string(part)},
                          {"crashes", std::to_string(crashes)},
                          {"source", own ? "self" : "other"}});
+    this->quarantine_store.RecordQuarantined(part);
     if (own) {
       this->quarantine_store.Save(part);
     }
@@ -179,6 +183,7 @@
     this->events.Record(
         EventId::kPromptPartReleased,
         {{"part", std::string(part)}, {"source", own ? "self" : "other"}});
+    this->quarantine_store.RecordReleased(part);
     if (own) {
       this->quarantine_store.Save(part);
     }
--- a/packages/relay/src/relay/entry_daemon.h
+++ b/packages/relay/src/relay/entry_daemon.h
@@ -11,6 +11,7 @@
 #include "relay/deployment_store.h"
 #include "relay/entry_settings.h"
 #include "relay/protocol.h"
+#include "storage/store_era.h"
 #include "storage/table.h"
 
 namespace qp::relay {
@@ -21,6 +22,7 @@
   DeploymentStore* store = nullptr;
   EngineControl* engines = nullptr;
   Table* table = nullptr;
+  EraSource* era_source = nullptr;  ///< Of the store and the table.
 };
 
 /// A process that relays requests of callers to the backend servers of a
--- a/packages/relay/src/relay/entry_settings.cc
+++ b/packages/relay/src/relay/entry_settings.cc
@@ -106,6 +106,7 @@
       ParseBound(reader, "configuration_bound_ms", kDefaultConfigurationBound);
   settings.server_list_bound =
       ParseBound(reader, "server_list_bound_ms", kDefaultServerListBound);
+  settings.first_start = reader.BoolOr("first_start", false);
   ParseRetry(reader, settings.retry);
   ParseResponseLimits(reader, settings.response_limits);
   settings.log_level = ParseLogLevel(reader);
--- a/packages/relay/src/relay/entry_settings.h
+++ b/packages/relay/src/relay/entry_settings.h
@@ -28,6 +28,8 @@
   /// Time from the store's acknowledgement of a change of the server list until
   /// it must be in force at every process.
   Duration server_list_bound = kDefaultServerListBound;
+  /// Whether the whole deployment starts for the first time.
+  bool first_start = false;
   RetryBudget::Limits retry;
   ResponseLimits response_limits;
   std::string log_level = "info";  ///< debug, info, warning or error.
--- a/packages/relay/src/relay/load_report.cc
+++ b/packages/relay/src/relay/load_report.cc
@@ -12,15 +12,15 @@
 
 /// Version of the layout, the first member of each report. Datagrams with
 /// another version are rejected.
-constexpr std::uint32_t kReportFormat = 7;
+constexpr std::uint32_t kReportFormat = 8;
 
 // Lengths of the arrays in a report.
-constexpr std::size_t kReportMembers = 17;
+constexpr std::size_t kReportMembers = 18;
 constexpr std::size_t kLoadMembers = 3;
 constexpr std::size_t kRefusalMembers = 2;
 constexpr std::size_t kUpdateMembers = 3;
 constexpr std::size_t kEntryMembers = 3;
-constexpr std::size_t kRecordMembers = 9;
+constexpr std::size_t kRecordMembers = 10;
 constexpr std::size_t kPartMembers = 4;
 constexpr std::size_t kCrashMembers = 3;
 constexpr std::size_t kLimitMembers = 3;
@@ -72,6 +72,7 @@
   packer.pack(record.accelerator);
   packer.pack(record.layers.first);
   packer.pack(record.layers.end);
+  packer.pack(record.heartbeats);
 }
 
 ServerRecord DecodeRecord(const msgpack::object& object) {
@@ -86,6 +87,7 @@
   record.accelerator = members[6].as<std::string>();
   record.layers = {members[7].as<std::uint32_t>(),
                    members[8].as<std::uint32_t>()};
+  record.heartbeats = members[9].as<std::uint64_t>();
   return record;
 }
 
@@ -218,6 +220,7 @@
   for (const auto& limit : ElementsOf(members[16])) {
     report.limits.push_back(DecodeLimit(limit));
   }
+  report.store_era = members[17].as<std::uint64_t>();
   return report;
 }
 
@@ -264,6 +267,7 @@
   for (const auto& limit : report.limits) {
     Pack(packer, limit);
   }
+  packer.pack(report.store_era);
   return {bytes.data(), bytes.size()};
 }
 
--- a/packages/relay/src/relay/load_report.h
+++ b/packages/relay/src/relay/load_report.h
@@ -71,6 +71,8 @@
   bool reads_configuration = false;
   /// Whether the process holds the lease for changing the engines' layers.
   bool holds_lease = false;
+  /// Newest era of the store that the process knows; revisions belong to it.
+  std::uint64_t store_era = 0;
   /// Revision of the server list in use.
   std::uint64_t server_revision = 0;
   /// Time since the server list in use was last known to equal the one in the
--- a/packages/relay/src/relay/server_directory.cc
+++ b/packages/relay/src/relay/server_directory.cc
@@ -104,6 +104,13 @@
   }
 }
 
+void ServerDirectory::ForEachRemoved(
+    const std::function<void(const Server&)>& visit) const {
+  for (const auto& [id, server] : this->removed) {
+    visit(*server);
+  }
+}
+
 void ServerDirectory::ClearPeerLoads() {
   for (const auto& [id, server] : this->by_id) {
     server->peer_streams = 0;
--- a/packages/relay/src/relay/server_directory.h
+++ b/packages/relay/src/relay/server_directory.h
@@ -35,6 +35,10 @@
   /// than `now`, because the entry can have lapsed while the server still runs,
   /// the server stays in use until `keep_until`.
   void Remove(std::string_view id, TimePoint now, TimePoint keep_until);
+  /// Whether a removed server stays in use for its grace period.
+  bool IsLapsing(std::string_view id) const {
+    return this->kept_until.contains(id);
+  }
   /// Removes servers whose grace period has ended and drops state that is older
   /// than kRetention. Must be called before each use.
   void Expire(TimePoint now);
@@ -44,6 +48,8 @@
   ServerPtr FindByAddress(std::string_view address) const;
   std::vector<std::string> Ids() const;
   void ForEach(const std::function<void(const Server&)>& visit) const;
+  /// Visits the servers that were removed, as long as their state is kept.
+  void ForEachRemoved(const std::function<void(const Server&)>& visit) const;
   void ClearPeerLoads();
   void ClearUnreportedLoads();
   std::size_t size() const { return this->by_id.size(); }
--- a/packages/relay/src/relay/store_watcher.cc
+++ b/packages/relay/src/relay/store_watcher.cc
@@ -38,7 +38,32 @@
 
 StoreWatcher::StoreWatcher(RelayContext& context, Clock& time,
                            DeploymentStore& source)
-    : relay(context), clock(time), store(source) {}
+    : relay(context), clock(time), store(source) {
+  this->relay.store_era.AddListener(*this);
+}
+
+void StoreWatcher::OnStoreRestored(std::uint64_t era) {
+  this->relay.events.Record(
+      EventId::kStoreRestored,
+      {{"era", std::to_string(era)},
+       {"server_revision", std::to_string(this->applied_server_revision)}});
+  this->configuration_revision.reset();
+  this->stored_version.reset();
+  this->relay.configuration_freshness.ResetStoreRevision();
+  this->server_revision.reset();
+  this->applied_server_revision = 0;
+  this->own_updates.clear();
+  this->restored_servers.Begin(this->relay.servers);
+  // Servers that the copy lacks write their entries again.
+  this->last_failure_at = this->clock.Now();
+  if (this->has_configuration()) {
+    asio::co_spawn(this->relay.io, this->CompareConfiguration(),
+                   asio::detached);
+  }
+  if (this->servers_known) {
+    asio::co_spawn(this->relay.io, this->CompareServers(), asio::detached);
+  }
+}
 
 Task<void> StoreWatcher::WatchServers() {
   while (true) {
@@ -159,6 +184,7 @@
 Task<Result<bool>> StoreWatcher::FetchServers(bool is_comparison) {
   const bool is_full = !this->server_revision.has_value();
   const std::uint64_t known_revision = this->server_revision.value_or(0);
+  const std::uint64_t began_era = this->relay.store_era.current();
   const TimePoint requested_at = this->clock.Now();
   auto call = is_full ? this->store.ReadServers()
               : is_comparison
@@ -177,7 +203,8 @@
                               {{"entry", id}, {"detail", detail}});
   }
   RemoveSupersededEntries(list_update.value().entries);
-  if (list_update.value().revision < this->applied_server_revision) {
+  if (!this->IsUsable(list_update.value().era, began_era, is_full) ||
+      list_update.value().revision < this->applied_server_revision) {
     co_return false;
   }
   // RecordOwnUpdate compares the response with the list in use, which must
@@ -199,8 +226,14 @@
 
 bool StoreWatcher::IsChange(const ServerEntry& entry) const {
   const ServerPtr known = this->relay.servers.Find(entry.id);
-  return known == nullptr ? entry.record.has_value()
-                          : !entry.record || *entry.record != known->record;
+  // After a restore a peer can use a server that this process knows to have
+  // left, or can have a lapsed entry that is listed again unchanged.
+  if (known == nullptr) {
+    return entry.record.has_value() ||
+           this->restored_servers.IsJudged(entry.id);
+  }
+  return !entry.record || *entry.record != known->record ||
+         this->relay.servers.IsLapsing(entry.id);
 }
 
 void StoreWatcher::RecordOwnUpdate(std::uint64_t from,
@@ -230,6 +263,7 @@
   report.configuration_age_ms =
       AgeMillis(now, this->relay.configuration_freshness.verified_at());
   report.reads_configuration = this->reads_configuration;
+  report.store_era = this->relay.store_era.current();
   report.server_revision = this->applied_server_revision;
   report.server_age_ms = AgeMillis(now, this->server_freshness.verified_at());
   for (const auto& [at, update] : this->own_updates) {
@@ -251,14 +285,17 @@
           : this->relay.active_configuration->configuration.version;
   ConfigurationFreshness& freshness = this->relay.configuration_freshness;
   freshness.RecordPeerVersion(report.configuration_version, now);
-  if (report.configuration_version > version &&
+  const bool same_era = report.store_era == this->relay.store_era.current();
+  // A peer's newer era is not trusted but read from the store.
+  if ((report.configuration_version > version ||
+       report.store_era > this->relay.store_era.current()) &&
       (!this->last_catch_up_at ||
        now - *this->last_catch_up_at >= this->CatchUpInterval())) {
     this->last_catch_up_at = now;
     asio::co_spawn(this->relay.io, this->CatchUpConfiguration(),
                    asio::detached);
   }
-  if (version != 0 && report.configuration_version == version) {
+  if (same_era && version != 0 && report.configuration_version == version) {
     freshness.RecordVerified(
         now - std::chrono::milliseconds(report.configuration_age_ms));
   }
@@ -269,7 +306,7 @@
       report.availability_zone == this->relay.availability_zone) {
     this->reads_configuration = false;
   }
-  if (!this->server_revision) {
+  if (!this->server_revision || !same_era) {
     return;
   }
   for (const auto& update : report.updates) {
@@ -313,6 +350,7 @@
     }
   }
   if (is_full) {
+    this->restored_servers.EndFirstList();
     for (const auto& id : this->relay.servers.Ids()) {
       if (!listed.contains(id)) {
         this->RemoveServer(id, now, keep_until);
@@ -325,7 +363,15 @@
   }
 }
 
-void StoreWatcher::PutServer(const ServerRecord& record, TimePoint now) {
+void StoreWatcher::PutServer(ServerRecord record, TimePoint now) {
+  if (!this->restored_servers.Admit(record)) {
+    this->relay.events.Record(
+        EventId::kRestoredEntryHeld,
+        {{"server", record.id},
+         {"incarnation", std::to_string(record.incarnation)},
+         {"heartbeats", std::to_string(record.heartbeats)}});
+    return;
+  }
   const ServerPtr known = this->relay.servers.Find(record.id);
   const bool changed = known == nullptr ||
                        known->record.incarnation != record.incarnation ||
--- a/packages/relay/src/relay/store_watcher.h
+++ b/packages/relay/src/relay/store_watcher.h
@@ -10,6 +10,8 @@
 #include "relay/deployment_store.h"
 #include "relay/load_gossip.h"
 #include "relay/relay.h"
+#include "relay/restored_servers.h"
+#include "storage/store_era.h"
 
 namespace qp::relay {
 
@@ -29,7 +31,13 @@
 /// In a large zone the configuration is shared in the same way: one process
 /// waits for changes at the store, and the others read each version that this
 /// process reports. In a small zone each process waits for itself.
-class StoreWatcher {
+///
+/// A store that is restored from a copy shows an older state and counts its
+/// revisions from there again. From the first answer of the new era on, both
+/// are read anew. The version of the configuration never goes back, entries of
+/// servers that are older than what is known are not used, and servers that the
+/// copy lacks stay in use for ServerDirectory::kLapseGrace.
+class StoreWatcher : public RestoreListener {
  public:
   /// Timeout of a long poll for a configuration change. The store answers at
   /// once when there is a change. If this connection has silently failed, the
@@ -166,6 +174,9 @@
   /// Whether no peer has reported for kPeerTimeout.
   bool is_isolated() const { return !this->HasRecentPeerReport(); }
 
+  /// Reads the configuration and the server list at once, both as a whole.
+  void OnStoreRestored(std::uint64_t era) override;
+
   /// Called after each update of the server list and each new configuration.
   std::function<void()> on_change;
   /// Called after each poll of the server list by this process, and in a large
@@ -189,6 +200,8 @@
     /// answers are linearizable, so an answer with a lower one is outdated.
     std::uint64_t known_revision = 0;
     std::string_view cause;  ///< Why the call is made, for the log.
+    std::uint64_t era = 0;   ///< Era of the store when the call began.
+    bool is_full = false;    ///< Whether the whole configuration is read.
   };
 
   /// Timeout of the next long poll for a configuration change.
@@ -199,7 +212,16 @@
   /// kMaxConfigurationAge plus jitter, or until polling is no longer shared.
   Task<void> WaitForStaleConfiguration();
   Duration CatchUpInterval() const;
-  ConfigurationRead BeginRead(std::string_view cause) const;
+  ConfigurationRead BeginRead(std::string_view cause, bool is_full) const;
+  /// Whether an answer can be used that states `answer_era` to a call that
+  /// began in `began_era`. Changes since a revision can't be read across a
+  /// restore.
+  bool IsUsable(std::uint64_t answer_era, std::uint64_t began_era,
+                bool is_full) const;
+  /// Returns why an answer doesn't prove that the configuration in use is
+  /// current; empty if it does.
+  std::string WhyNotCurrent(const ConfigurationSnapshot& snapshot,
+                            const ConfigurationRead& read) const;
   /// Returns the pause until the next poll.
   Duration HandleFailedRead(const Error& error, const ConfigurationRead& read);
   /// Applies an answer of the store, and records that the configuration in use
@@ -233,7 +255,8 @@
   /// Keeps the changes that a poll has returned since revision `from`, for the
   /// reports to peers.
   void RecordOwnUpdate(std::uint64_t from, const ServerListUpdate& list_update);
-  /// Whether `entry` differs from the server list in use.
+  /// Whether `entry` can differ from the server list of a peer that has read
+  /// the same revision.
   bool IsChange(const ServerEntry& entry) const;
   /// Reads the changes of the server list, or the whole list, and applies them.
   /// `is_comparison`: on a new connection. Returns false if the answer is older
@@ -246,7 +269,8 @@
   /// `is_full`: `list_update` contains all servers, so that servers missing
   /// from it are removed.
   void ApplyServers(const ServerListUpdate& list_update, bool is_full);
-  void PutServer(const ServerRecord& record, TimePoint now);
+  /// Not for an entry that is older than what is known of its server.
+  void PutServer(ServerRecord record, TimePoint now);
   /// The server stays in use until `keep_until` if that is later than `now`,
   /// because its entry can merely have lapsed.
   void RemoveServer(const std::string& id, TimePoint now, TimePoint keep_until);
@@ -269,6 +293,10 @@
   /// call failed. Both loops share it.
   Duration backoff{};
   bool servers_known = false;
+  /// Version that the store had when it was last read in its era; empty if it
+  /// has not been read.
+  std::optional<std::uint64_t> stored_version;
+  RestoredServers restored_servers;
   bool store_available = true;
   /// Revision of the server list in use.
   std::uint64_t applied_server_revision = 0;
--- a/packages/relay/src/relay/store_watcher_configuration.cc
+++ b/packages/relay/src/relay/store_watcher_configuration.cc
@@ -69,8 +69,8 @@
 }
 
 Task<Duration> StoreWatcher::PollConfiguration() {
-  const ConfigurationRead read = this->BeginRead("poll");
   const bool is_watch = this->configuration_revision.has_value();
+  const ConfigurationRead read = this->BeginRead("poll", !is_watch);
   const Duration wait = this->ConfigurationWait();
   auto call = is_watch ? this->store.WatchConfiguration(
                              *this->configuration_revision, wait)
@@ -93,10 +93,36 @@
   co_return Duration{0};
 }
 
-StoreWatcher::ConfigurationRead StoreWatcher::BeginRead(
-    std::string_view cause) const {
+StoreWatcher::ConfigurationRead StoreWatcher::BeginRead(std::string_view cause,
+                                                        bool is_full) const {
   return {this->clock.Now(),
-          this->relay.configuration_freshness.store_revision(), cause};
+          this->relay.configuration_freshness.store_revision(), cause,
+          this->relay.store_era.current(), is_full};
+}
+
+bool StoreWatcher::IsUsable(std::uint64_t answer_era, std::uint64_t began_era,
+                            bool is_full) const {
+  const std::uint64_t era = this->relay.store_era.current();
+  return (answer_era == 0 || answer_era == era) &&
+         (is_full || began_era == era);
+}
+
+std::string StoreWatcher::WhyNotCurrent(const ConfigurationSnapshot& snapshot,
+                                        const ConfigurationRead& read) const {
+  const auto& active = this->relay.active_configuration;
+  if (read.era == this->relay.store_era.current() &&
+      snapshot.revision < read.known_revision) {
+    return "the answer shows revision " + std::to_string(snapshot.revision) +
+           ", but " + std::to_string(read.known_revision) +
+           " was known before the call";
+  }
+  if (active != nullptr && this->stored_version &&
+      *this->stored_version < active->configuration.version) {
+    return "the store has version " + std::to_string(*this->stored_version) +
+           ", but " + std::to_string(active->configuration.version) +
+           " is in force";
+  }
+  return {};
 }
 
 Duration StoreWatcher::HandleFailedRead(const Error& error,
@@ -112,24 +138,34 @@
                                        const ConfigurationRead& read,
                                        TimePoint as_of) {
   this->ApplyConfiguration(snapshot, read.cause);
+  if (!this->IsUsable(snapshot.era, read.era, read.is_full)) {
+    this->LogFailedRead(Error{ErrorCode::kProtocol, "configuration.compare", "",
+                              "the store was restored during the call"},
+                        read);
+    return false;
+  }
   if (!snapshot.configuration && !snapshot.unreadable.empty()) {
     // The version is read again: a later answer can be readable.
     this->configuration_revision.reset();
     return false;
   }
-  if (snapshot.revision < read.known_revision) {
+  if (snapshot.configuration) {
+    this->stored_version = snapshot.configuration->version;
+  } else if (read.is_full) {
+    this->stored_version = 0;
+  }
+  const std::string why = this->WhyNotCurrent(snapshot, read);
+  ConfigurationFreshness& freshness = this->relay.configuration_freshness;
+  if (snapshot.revision >= freshness.store_revision()) {
+    freshness.RecordStoreRevision(snapshot.revision);
+    this->configuration_revision =
+        std::max(this->configuration_revision.value_or(0), snapshot.revision);
+  }
+  if (!why.empty()) {
     this->LogFailedRead(
-        Error{ErrorCode::kProtocol, "configuration.compare", "",
-              "the answer shows revision " + std::to_string(snapshot.revision) +
-                  ", but " + std::to_string(read.known_revision) +
-                  " was known before the call"},
-        read);
+        Error{ErrorCode::kProtocol, "configuration.compare", "", why}, read);
     return false;
   }
-  ConfigurationFreshness& freshness = this->relay.configuration_freshness;
-  freshness.RecordStoreRevision(snapshot.revision);
-  this->configuration_revision =
-      std::max(this->configuration_revision.value_or(0), snapshot.revision);
   freshness.RecordVerified(as_of);
   this->UpdateConfirmed();
   return true;
@@ -166,7 +202,8 @@
 Task<void> StoreWatcher::CompareConfiguration() {
   Comparisons& comparisons = this->configuration_comparisons;
   ++comparisons.pending;
-  const ConfigurationRead read = this->BeginRead("comparison");
+  const ConfigurationRead read =
+      this->BeginRead("comparison", !this->configuration_revision);
   auto call =
       this->configuration_revision
           ? this->store.CompareConfiguration(*this->configuration_revision)
@@ -216,6 +253,9 @@
                                static_cast<double>(version));
   this->relay.metrics.SetGauge("quetzalpost_configuration_age_seconds",
                                age_ms / 1000.0);
+  this->relay.metrics.SetGauge(
+      "quetzalpost_store_era",
+      static_cast<double>(this->relay.store_era.current()));
   if (this->state_logged_at &&
       now - *this->state_logged_at < kStateLogInterval) {
     return;
@@ -225,6 +265,7 @@
       EventId::kConfigurationCompared,
       {{"version", std::to_string(version)},
        {"revision", std::to_string(this->configuration_revision.value_or(0))},
+       {"era", std::to_string(this->relay.store_era.current())},
        {"age_ms", std::to_string(age_ms)}});
 }
 
@@ -258,7 +299,7 @@
 }
 
 Task<void> StoreWatcher::CatchUpConfiguration() {
-  const ConfigurationRead read = this->BeginRead("peer_report");
+  const ConfigurationRead read = this->BeginRead("peer_report", true);
   const auto snapshot = co_await this->store.ReadConfiguration();
   if (!snapshot) {
     this->LogFailedRead(snapshot.error(), read);
