Refuse requests that the end of a planned stop would cut off

Reported by operators of similar systems: requests that came late in the grace period of a planned stop were passed on and cut off at its end without an answer, among them requests that must not run twice.

Cause: a process that stops took every request on connections that were open already, whatever time was left.

Change: DrainWindow. For 3 s, until the load balancer has noticed, all requests are taken, as before. From then on a request is taken if its deadline is before the end of the grace period, and otherwise refused with 503 and Retry-After before any server sees it.

--- a/packages/relay/src/relay/entry_daemon.cc
+++ b/packages/relay/src/relay/entry_daemon.cc
@@ -23,10 +23,6 @@
 
 using std::chrono::milliseconds;
 
-/// Time after the start of a drain during which new connections are still
-/// accepted: the load balancer checks readiness once a second and needs two
-/// failures.
-constexpr Duration kAcceptWhileDraining = milliseconds(3000);
 /// Time before the end of the grace period at which the process stops itself.
 constexpr Duration kShutdownMargin = milliseconds(300);
 constexpr Duration kDrainCheckInterval = milliseconds(100);
@@ -234,6 +230,7 @@
     const TimePoint end =
         began + std::max(this->settings.grace_period - kShutdownMargin,
                          kDrainCheckInterval);
+    this->relay.drain_window.Begin(began, end);
     // An order in flight must not overlap with an order of the next holder of
     // the lease.
     while (this->controller.is_reconciling() && this->clock.Now() < end) {
@@ -241,8 +238,8 @@
     }
     co_await this->lease.Resign();
     co_await this->registry.Unregister();
-    const TimePoint accept_until = std::min(began + kAcceptWhileDraining, end);
-    co_await SleepFor(this->clock, accept_until - this->clock.Now());
+    co_await SleepFor(this->clock, this->relay.drain_window.accept_until() -
+                                       this->clock.Now());
     this->listener.StopAccepting();
     while (this->clock.Now() < end) {
       this->listener.CloseIdle();
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -23,6 +23,8 @@
 /// about 2 s after an engine is lost; plain servers recover sooner.
 constexpr Duration kStreamRetryAfter = milliseconds(1500);
 constexpr Duration kPlainRetryAfter = milliseconds(250);
+/// Retry-After of a request that another process can take at once.
+constexpr Duration kStopRetryAfter = milliseconds(50);
 /// Maximum Retry-After as a share of the time left until the caller's deadline.
 /// Callers do not wait for longer than a third of that time.
 constexpr double kMaxRetryAfterShare = 0.3;
@@ -103,6 +105,11 @@
     this->SendLocalReply({503, "no time is left", std::nullopt});
     return false;
   }
+  if (!this->relay.drain_window.Admits(this->relay.Now(), this->deadline)) {
+    this->SendLocalReply(
+        {503, "the process is about to stop", kStopRetryAfter});
+    return false;
+  }
   this->relay.retry_budget.RecordRequest(this->service->name,
                                          this->relay.Now());
   return true;
--- a/packages/relay/src/relay/relay.h
+++ b/packages/relay/src/relay/relay.h
@@ -12,6 +12,7 @@
 #include "relay/crash_probe.h"
 #include "relay/deployment.h"
 #include "relay/deployment_store.h"
+#include "relay/drain_window.h"
 #include "relay/limit_tracker.h"
 #include "relay/prompt_quarantine.h"
 #include "relay/protocol.h"
@@ -77,6 +78,7 @@
   /// small deployments, where all processes report to each other.
   bool other_zones_known = true;
   bool draining = false;
+  DrainWindow drain_window;
   ResponseLimits response_limits;
   /// Null if the process does not control engines.
   EngineControl* engines = nullptr;
