--- a/packages/relay/src/relay/store_watcher_configuration.cc
+++ b/packages/relay/src/relay/store_watcher_configuration.cc
@@ -149,18 +149,18 @@
     this->configuration_revision.reset();
     return false;
   }
-  if (snapshot.configuration) {
-    this->stored_version = snapshot.configuration->version;
-  } else if (read.is_full) {
-    this->stored_version = 0;
+  // Answers to overlapping calls can arrive in another order.
+  if (snapshot.revision >= this->configuration_revision.value_or(0)) {
+    this->configuration_revision = snapshot.revision;
+    if (snapshot.configuration) {
+      this->stored_version = snapshot.configuration->version;
+    } else if (read.is_full) {
+      this->stored_version = 0;
+    }
   }
   const std::string why = this->WhyNotCurrent(snapshot, read);
   ConfigurationFreshness& freshness = this->relay.configuration_freshness;
-  if (snapshot.revision >= freshness.store_revision()) {
-    freshness.RecordStoreRevision(snapshot.revision);
-    this->configuration_revision =
-        std::max(this->configuration_revision.value_or(0), snapshot.revision);
-  }
+  freshness.RecordStoreRevision(snapshot.revision);
   if (!why.empty()) {
     this->LogFailedRead(
         Error{ErrorCode::kProtocol, "configuration.compare", "", why}, read);
--- a/packages/relay/tests/relay/late_configuration_test.cc
+++ b/packages/relay/tests/relay/late_configuration_test.cc
@@ -228,6 +228,24 @@
   CHECK(report.configuration_age_ms >= 5000);
 }
 
+TEST_CASE("A late older answer doesn't keep later ones from proving anything",
+          "[relay][store]") {
+  Fixture fixture;
+  fixture.store.Write(2);
+  fixture.Advance(kBound);
+  REQUIRE(fixture.Version() == 2);
+  fixture.store.is_stale = true;
+  LoadReport report;
+  report.node = "peer";
+  report.configuration_version = 3;
+  fixture.watcher.ApplyReport(report);  // Causes a read.
+  fixture.harness.runtime.Advance(milliseconds(10));
+  fixture.store.is_stale = false;
+  fixture.Advance(kBound);
+  fixture.watcher.FillReport(report);
+  CHECK(report.configuration_age_ms < 1500);
+}
+
 TEST_CASE(
     "A process that starts does not serve with a version older than a peer's",
     "[relay][store]") {
