--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,7 +11,7 @@
 
 MAX_ATTEMPTS = 2
 WORKERS = 5
-LOSSY_SHARE, LOST, WINDOW_S, WINDOWS = 0.6, 0.4, 4.0, 6  # ladle-rota.toml, day trouble-1
+LOSSY_SHARE, LOST, WINDOW_S, WINDOWS = 0.6, 0.4, 4.0, 11  # ladle-rota.toml, day trouble-1
 ENTRIES = 9  # As many machines as ladle-rota.toml has.
 CONSUMERS = 36
 PAUSE_S = (0.2, 0.5)
@@ -47,7 +47,7 @@
         for worker in lossy:
             worker.lose = 0.0
         world.note("no more answers are lost")
-        await asyncio.sleep(4)
+        await asyncio.sleep(3)
     stop.set()
     await asyncio.gather(*consumers)
     ran = collections.defaultdict(set)
