Date an outage of the store by the calls that were answered since

Cause: a server that vanishes from the list stays in use until 2 s after the last outage of the store, since its entry can merely have lapsed. The outage was dated at the time when any call was last given up. A long poll that is lost with its connection is given up 9.5 s after it began, although the list has been read many times since.

Change: StoreAvailability. A call without an answer shows an outage only if no call that began later has been answered, by this process or by a peer. The grace period counts from the first answer after the outage, no longer from the last failure, so live servers are no longer dropped while the store is still away. 5001 and 5002 go by the calls of this process.

--- a/packages/relay/src/relay/store_watcher.cc
+++ b/packages/relay/src/relay/store_watcher.cc
@@ -56,7 +56,7 @@
   this->restored_servers.Begin(this->relay.servers, this->clock.Now());
   asio::co_spawn(this->relay.io, this->ReadServersAfterHold(), asio::detached);
   // Servers that the copy lacks write their entries again.
-  this->last_failure_at = this->clock.Now();
+  this->availability.RecordReturn(this->clock.Now());
   if (this->has_configuration()) {
     asio::co_spawn(this->relay.io, this->CompareConfiguration(),
                    asio::detached);
@@ -118,7 +118,7 @@
 Task<Duration> StoreWatcher::PollServers() {
   const auto applied = co_await this->FetchServers(false);
   if (!applied) {
-    co_return this->RecordFailure(applied.error());
+    co_return this->NextBackoff();
   }
   const Duration pause = kServerPollInterval +
                          Duration(std::uniform_int_distribution<Duration::rep>(
@@ -202,12 +202,13 @@
                   : this->store.WatchServers(known_revision, Duration{0});
   auto list_update = co_await std::move(call);
   if (!list_update) {
+    this->RecordFailure(list_update.error(), requested_at);
     if (list_update.error().code == ErrorCode::kNotFound) {
       this->server_revision.reset();
     }
     co_return list_update.error();
   }
-  this->RecordSuccess();
+  this->RecordAnswer(requested_at);
   for (const auto& [id, detail] : list_update.value().unreadable) {
     this->relay.events.Record(EventId::kRelayEntryUnreadable,
                               {{"entry", id}, {"detail", detail}});
@@ -287,9 +288,10 @@
 void StoreWatcher::ApplyReport(const LoadReport& report) {
   const TimePoint now = this->clock.Now();
   this->last_peer_report_at = now;
-  this->peer_read_store_at =
-      std::max(this->peer_read_store_at,
-               now - std::chrono::milliseconds(report.server_age_ms));
+  const TimePoint read_store_at =
+      now - std::chrono::milliseconds(report.server_age_ms);
+  this->peer_read_store_at = std::max(this->peer_read_store_at, read_store_at);
+  this->availability.RecordAnswer(read_store_at, now);
   const auto version =
       this->relay.active_configuration == nullptr
           ? 0
@@ -347,10 +349,9 @@
   const TimePoint now = this->clock.Now();
   // Entries of live servers lapse while the store is unavailable and are listed
   // again soon after its recovery.
+  const auto returned_at = this->availability.ReturnedAt(now);
   const TimePoint keep_until =
-      this->last_failure_at
-          ? *this->last_failure_at + ServerDirectory::kLapseGrace
-          : now;
+      returned_at ? *returned_at + ServerDirectory::kLapseGrace : now;
   std::set<std::string, std::less<>> listed;
   for (const auto& entry : list_update.entries) {
     if (entry.record) {
@@ -413,7 +414,9 @@
   this->relay.events.Record(
       EventId::kServerUnlisted,
       {{"server", id},
-       {"may_have_lapsed", keep_until > now ? "true" : "false"}});
+       {"may_have_lapsed", keep_until > now ? "true" : "false"},
+       {"kept_ms",
+        std::to_string(keep_until > now ? AgeMillis(keep_until, now) : 0)}});
 }
 
 bool StoreWatcher::HasRecentPeerReport() const {
@@ -421,23 +424,33 @@
          this->clock.Now() - *this->last_peer_report_at < kPeerTimeout;
 }
 
-void StoreWatcher::RecordSuccess() {
+void StoreWatcher::RecordAnswer(TimePoint as_of) {
+  const TimePoint now = this->clock.Now();
   this->backoff = Duration{0};
-  if (!std::exchange(this->store_available, true)) {
+  this->availability.RecordAnswer(as_of, now);
+  const bool was_reachable = this->reachability.is_available();
+  this->reachability.RecordAnswer(as_of, now);
+  if (!was_reachable && this->reachability.is_available()) {
     this->relay.events.Record(EventId::kTableAvailable, {});
   }
 }
 
-Duration StoreWatcher::RecordFailure(const Error& error) {
-  if (error.code != ErrorCode::kNotFound) {
-    this->last_failure_at = this->clock.Now();
-    if (std::exchange(this->store_available, false)) {
-      this->relay.events.Record(EventId::kTableUnavailable,
-                                {{"step", error.step},
-                                 {"peer", error.peer},
-                                 {"detail", error.detail}});
-    }
+void StoreWatcher::RecordFailure(const Error& error, TimePoint began) {
+  if (error.code == ErrorCode::kNotFound) {
+    this->RecordAnswer(began);
+    return;
   }
+  this->availability.RecordFailure(began);
+  const bool was_reachable = this->reachability.is_available();
+  this->reachability.RecordFailure(began);
+  if (was_reachable && !this->reachability.is_available()) {
+    this->relay.events.Record(
+        EventId::kTableUnavailable,
+        {{"step", error.step}, {"peer", error.peer}, {"detail", error.detail}});
+  }
+}
+
+Duration StoreWatcher::NextBackoff() {
   if (!this->HasRecentPeerReport()) {
     this->backoff = std::clamp(this->backoff * 2, kInitialBackoff, kMaxBackoff);
     return this->backoff;
--- a/packages/relay/src/relay/store_watcher.h
+++ b/packages/relay/src/relay/store_watcher.h
@@ -11,6 +11,7 @@
 #include "relay/load_gossip.h"
 #include "relay/relay.h"
 #include "relay/restored_servers.h"
+#include "relay/store_availability.h"
 #include "storage/store_era.h"
 
 namespace qp::relay {
@@ -222,8 +223,7 @@
   /// current; empty if it does.
   std::string WhyNotCurrent(const ConfigurationSnapshot& snapshot,
                             const ConfigurationRead& read) const;
-  /// Returns the pause until the next poll.
-  Duration HandleFailedRead(const Error& error, const ConfigurationRead& read);
+  void HandleFailedRead(const Error& error, const ConfigurationRead& read);
   /// Applies an answer of the store, and records that the configuration in use
   /// was current at `as_of`. Returns false if the answer doesn't prove that.
   bool AcceptConfiguration(const ConfigurationSnapshot& snapshot,
@@ -279,9 +279,13 @@
   void RemoveServer(const std::string& id, TimePoint now, TimePoint keep_until);
   /// Whether any peer has reported within kPeerTimeout.
   bool HasRecentPeerReport() const;
-  void RecordSuccess();
-  /// Returns the pause until the next call to the store.
-  Duration RecordFailure(const Error& error);
+  /// The store has answered a call, which shows that it was available at some
+  /// time after `as_of`.
+  void RecordAnswer(TimePoint as_of);
+  /// A call that began at `began` has ended with `error`.
+  void RecordFailure(const Error& error, TimePoint began);
+  /// Returns the pause until the next call after a failed one.
+  Duration NextBackoff();
 
   RelayContext& relay;
   Clock& clock;
@@ -300,7 +304,6 @@
   /// has not been read.
   std::optional<std::uint64_t> stored_version;
   RestoredServers restored_servers;
-  bool store_available = true;
   /// Revision of the server list in use.
   std::uint64_t applied_server_revision = 0;
   ComparisonSchedule server_freshness{kDefaultServerListBound,
@@ -321,9 +324,11 @@
   std::optional<TimePoint> last_catch_up_at;
   /// Server list updates read by this process, with the time of the read.
   std::vector<std::pair<TimePoint, ServerUpdate>> own_updates;
-  /// Time of the last failed call to the store. Responses that the history
-  /// since a revision is gone do not count as failed.
-  std::optional<TimePoint> last_failure_at;
+  /// The store's availability to any process of the deployment, and so to the
+  /// servers that register with it.
+  StoreAvailability availability;
+  /// The store's availability to this process.
+  StoreAvailability reachability;
 };
 
 }  // namespace qp::relay
--- a/packages/relay/src/relay/store_watcher_configuration.cc
+++ b/packages/relay/src/relay/store_watcher_configuration.cc
@@ -77,13 +77,14 @@
                        : this->store.ReadConfiguration();
   const auto snapshot = co_await std::move(call);
   if (!snapshot) {
-    co_return this->HandleFailedRead(snapshot.error(), read);
+    this->HandleFailedRead(snapshot.error(), read);
+    co_return this->NextBackoff();
   }
-  this->RecordSuccess();
   const TimePoint as_of =
       is_watch ? TimeOfPollAnswer(read.began, wait, this->clock.Now(),
                                   snapshot.value().configuration.has_value())
                : read.began;
+  this->RecordAnswer(as_of);
   if (!this->AcceptConfiguration(snapshot.value(), read, as_of)) {
     co_return kUnusableAnswerPause;
   }
@@ -125,13 +126,13 @@
   return {};
 }
 
-Duration StoreWatcher::HandleFailedRead(const Error& error,
-                                        const ConfigurationRead& read) {
+void StoreWatcher::HandleFailedRead(const Error& error,
+                                    const ConfigurationRead& read) {
   this->LogFailedRead(error, read);
+  this->RecordFailure(error, read.began);
   if (error.code == ErrorCode::kNotFound) {
     this->configuration_revision.reset();
   }
-  return this->RecordFailure(error);
 }
 
 bool StoreWatcher::AcceptConfiguration(const ConfigurationSnapshot& snapshot,
@@ -211,19 +212,18 @@
   const auto snapshot = co_await std::move(call);
   --comparisons.pending;
   if (!snapshot) {
-    this->LogFailedRead(snapshot.error(), read);
-    if (snapshot.error().code == ErrorCode::kNotFound) {
-      this->configuration_revision.reset();
-      co_return;
+    this->HandleFailedRead(snapshot.error(), read);
+    if (snapshot.error().code != ErrorCode::kNotFound) {
+      this->DelayComparison(comparisons);
     }
+    co_return;
   }
-  if (!snapshot ||
-      !this->AcceptConfiguration(snapshot.value(), read, read.began)) {
+  this->RecordAnswer(read.began);
+  if (!this->AcceptConfiguration(snapshot.value(), read, read.began)) {
     this->DelayComparison(comparisons);
     co_return;
   }
   comparisons.backoff = Duration{0};
-  this->RecordSuccess();
   if (this->on_servers_polled) {
     this->on_servers_polled();
   }
@@ -302,9 +302,10 @@
   const ConfigurationRead read = this->BeginRead("peer_report", true);
   const auto snapshot = co_await this->store.ReadConfiguration();
   if (!snapshot) {
-    this->LogFailedRead(snapshot.error(), read);
+    this->HandleFailedRead(snapshot.error(), read);
     co_return;
   }
+  this->RecordAnswer(read.began);
   this->AcceptConfiguration(snapshot.value(), read, read.began);
 }
 
