Apply new limits on requests to open connections

Cause: a session gave its parser the size limits when the request before had ended, and kept them while the connection was idle. The timers for idle connections and for requests that arrive were started with the timeouts of that moment, too, so a longer idle timeout did not hold for open connections.

Ruled out: the configuration itself, which was in force (new connections), and what is looked up for each request (routes, keys, timeouts, tries).

Change: the size limits are set with the first byte of a request. A new configuration restarts the timers of all sessions that wait for their callers; a shorter timeout counts from the change, because callers could rely on the longer one until then.

--- a/packages/relay/src/relay/caller_listener.cc
+++ b/packages/relay/src/relay/caller_listener.cc
@@ -94,6 +94,12 @@
   }
 }
 
+void CallerListener::ApplyTimeouts() {
+  for (const auto& [key, session] : this->open_sessions) {
+    session->ApplyTimeouts();
+  }
+}
+
 void CallerListener::CloseAll() {
   const auto sessions = this->open_sessions;
   for (const auto& [key, session] : sessions) {
--- a/packages/relay/src/relay/caller_listener.h
+++ b/packages/relay/src/relay/caller_listener.h
@@ -27,6 +27,8 @@
   void CloseIdle();
   /// Closes all sessions and cancels their requests.
   void CloseAll();
+  /// Applies the timeouts of a new configuration to all open sessions.
+  void ApplyTimeouts();
   /// Number of open sessions.
   std::size_t sessions() const { return this->open_sessions.size(); }
 
--- a/packages/relay/src/relay/caller_session.cc
+++ b/packages/relay/src/relay/caller_session.cc
@@ -1,5 +1,6 @@
 #include "relay/caller_session.h"
 
+#include <algorithm>
 #include <boost/beast/http.hpp>
 #include <exception>
 #include <utility>
@@ -40,20 +41,48 @@
 }
 
 void CallerSession::PrepareForRequest() {
-  const CallerLimits& limits = this->Limits();
   this->parser.emplace();
   this->parser->eager(true);
-  this->parser->header_limit(limits.max_header_bytes);
-  this->parser->body_limit(limits.max_body_bytes);
   this->request_begun = false;
   this->continue_sent = false;
   this->response_begun = false;
-  this->WaitForRequest();
+  this->idle_since = this->relay.Now();
+  this->WaitForCaller(this->idle_since + this->Limits().idle_timeout);
 }
 
-void CallerSession::WaitForRequest() {
-  this->read_timer.Start(this->relay.Now() + this->Limits().idle_timeout,
-                         [this] { this->Close(); });
+void CallerSession::BeginRequest() {
+  const CallerLimits& limits = this->Limits();
+  this->parser->header_limit(limits.max_header_bytes);
+  this->parser->body_limit(limits.max_body_bytes);
+  this->request_begun = true;
+  this->request_begun_at = this->relay.Now();
+  this->WaitForCaller(this->request_begun_at + limits.header_timeout);
+}
+
+void CallerSession::WaitForCaller(TimePoint due) {
+  this->read_due = due;
+  this->read_timer.Start(due, [this] {
+    if (this->request_begun) {
+      this->Reject(408, "the request took too long");
+    } else {
+      this->Close();
+    }
+  });
+}
+
+void CallerSession::ApplyTimeouts() {
+  if (this->closed || this->finishing || this->exchange != nullptr) {
+    return;
+  }
+  const CallerLimits& limits = this->Limits();
+  const TimePoint since =
+      this->request_begun ? this->request_begun_at : this->idle_since;
+  const Duration timeout =
+      this->request_begun ? limits.header_timeout : limits.idle_timeout;
+  this->WaitForCaller(
+      since + timeout >= this->read_due
+          ? since + timeout
+          : std::min(this->read_due, this->relay.Now() + timeout));
 }
 
 void CallerSession::OnBytes(std::string_view bytes) {
@@ -102,11 +131,8 @@
   // request.
   while (!this->closed && !this->finishing && this->exchange == nullptr &&
          !this->input.empty()) {
-    if (!std::exchange(this->request_begun, true)) {
-      this->request_begun_at = this->relay.Now();
-      this->read_timer.Start(
-          this->request_begun_at + this->Limits().header_timeout,
-          [this] { this->Reject(408, "the request took too long"); });
+    if (!this->request_begun) {
+      this->BeginRequest();
     }
     boost::system::error_code failure;
     const std::size_t consumed = this->parser->put(
--- a/packages/relay/src/relay/caller_session.h
+++ b/packages/relay/src/relay/caller_session.h
@@ -38,6 +38,10 @@
   bool IsIdle() const;
   /// Closes the connection at once and cancels a running request.
   void Close();
+  /// Applies the timeouts of a new configuration to the current wait for the
+  /// caller. A shorter one counts from now on, because the caller could rely on
+  /// the longer one until now.
+  void ApplyTimeouts();
 
   void OnBytes(std::string_view bytes) override;
   void OnClose(const boost::system::error_code& failure) override;
@@ -67,9 +71,14 @@
   /// Maximum time for the caller to receive the last response.
   static constexpr Duration kLastWriteTimeout = std::chrono::seconds(10);
 
+  /// Limits of the configuration in use. They must be read anew for each
+  /// request and each timeout, because connections outlive configurations.
   const CallerLimits& Limits() const;
   /// Resets the parser for the next request and waits for it.
   void PrepareForRequest();
+  /// Sets the parser's limits and the timeout of a request whose first bytes
+  /// have arrived.
+  void BeginRequest();
   void ParseInput();
   /// Starts the exchange of a request that has arrived whole.
   void Dispatch();
@@ -85,8 +94,9 @@
   /// Closes the connection at once. If the caller can still be sending, first
   /// closes its sending side and discards input for kLingerTimeout.
   void CloseOrLinger();
-  /// Closes the connection if no request begins within the idle timeout.
-  void WaitForRequest();
+  /// Closes the connection at `due` if no request has begun, or rejects the
+  /// request that has begun and not arrived whole.
+  void WaitForCaller(TimePoint due);
 
   RelayContext& relay;
   SessionOwner& owner;
@@ -103,8 +113,10 @@
   bool linger_after_writes = false;  ///< The caller can still be sending.
   bool has_served = false;           ///< At least one response was finished.
   TimePoint opened_at{};
+  TimePoint idle_since{};
   TimePoint request_begun_at{};
   ScopedTimer read_timer;  ///< Timeout of the current wait for the caller.
+  TimePoint read_due{};    ///< End of that timeout.
   /// The running request; null if there is none.
   std::unique_ptr<Exchange> exchange;
 };
--- a/packages/relay/src/relay/entry_daemon.cc
+++ b/packages/relay/src/relay/entry_daemon.cc
@@ -105,6 +105,7 @@
     this->relay.quarantine.SetListener(this);
     this->relay.limits.SetListener(this);
     this->watcher.on_change = [this] { this->LogReadiness(); };
+    this->watcher.on_configuration = [this] { this->listener.ApplyTimeouts(); };
     this->watcher.on_servers_polled = [this] { this->gossip.SendUpdate(); };
   }
 
--- a/packages/relay/src/relay/store_watcher.h
+++ b/packages/relay/src/relay/store_watcher.h
@@ -180,6 +180,8 @@
 
   /// Called after each update of the server list and each new configuration.
   std::function<void()> on_change;
+  /// Called after each new configuration.
+  std::function<void()> on_configuration;
   /// Called after each poll of the server list by this process, and in a large
   /// zone also after each poll of the configuration, so that peers receive the
   /// result before they poll themselves.
--- a/packages/relay/src/relay/store_watcher_configuration.cc
+++ b/packages/relay/src/relay/store_watcher_configuration.cc
@@ -293,6 +293,9 @@
        {"revision", std::to_string(snapshot.revision)},
        {"routes", std::to_string(snapshot.configuration->routes.size())},
        {"cause", std::string(cause)}});
+  if (this->on_configuration) {
+    this->on_configuration();
+  }
   if (this->on_change) {
     this->on_change();
   }
--- a/packages/relay/tests/relay/caller_session_test.cc
+++ b/packages/relay/tests/relay/caller_session_test.cc
@@ -80,6 +80,135 @@
   }
 }
 
+namespace {
+
+constexpr std::size_t kOldLimit = 4096;
+constexpr std::size_t kNewLimit = 65536;
+constexpr std::size_t kLongPart = 20000;
+
+void Configure(RelayHarness& harness, CallerLimits limits) {
+  harness.Configure({MakeRoute("/a/", RetryPolicy::kNever)});
+  DeploymentConfiguration configuration =
+      harness.relay.active_configuration->configuration;
+  configuration.limits = limits;
+  harness.relay.active_configuration =
+      std::make_shared<const ActiveConfiguration>(configuration);
+  harness.listener.ApplyTimeouts();
+}
+
+CallerLimits LimitsOf(std::size_t bytes) {
+  CallerLimits limits;
+  limits.max_header_bytes = static_cast<std::uint32_t>(bytes);
+  limits.max_body_bytes = bytes;
+  return limits;
+}
+
+CallerLimits Timeouts(Duration header_timeout, Duration idle_timeout) {
+  CallerLimits limits;
+  limits.header_timeout = header_timeout;
+  limits.idle_timeout = idle_timeout;
+  return limits;
+}
+
+/// A connection that is open before the configuration changes, with or without
+/// an earlier request.
+Peer& OpenConnection(RelayHarness& harness, ScriptedServer& server,
+                     bool has_served) {
+  Peer& caller = harness.Call(has_served ? RelayHarness::Request("/a/1") : "");
+  if (has_served) {
+    REQUIRE(harness.Gets(server, 1));
+    server.last().channel->Write(OkResponse("one"));
+    REQUIRE(harness.Receives(caller, "one"));
+    caller.received.clear();
+  }
+  REQUIRE(harness.Until([&] { return harness.listener.sessions() == 1; }));
+  return caller;
+}
+
+/// Advances the clock in steps, so that expired timers run.
+void Pass(RelayHarness& harness, Duration time) {
+  for (Duration passed{0}; passed < time; passed += milliseconds(100)) {
+    harness.runtime.Advance(milliseconds(100));
+  }
+}
+
+}  // namespace
+
+// Guards against a parser that keeps the limits that were in force when the
+// request before ended.
+TEST_CASE("A request on an open connection is held to the newest size limits",
+          "[relay][session][limits]") {
+  RelayHarness harness;
+  const bool has_served = GENERATE(false, true);
+  const bool is_raised = GENERATE(false, true);
+  Configure(harness, LimitsOf(is_raised ? kOldLimit : kNewLimit));
+  auto& server = harness.AddServer("s1");
+  Peer& caller = OpenConnection(harness, server, has_served);
+  Configure(harness, LimitsOf(is_raised ? kNewLimit : kOldLimit));
+  const std::string part(kLongPart, 'x');
+  SECTION("of bodies") {
+    caller.channel->Write(
+        "POST /a/2 HTTP/1.1\r\nHost: shop.example\r\nAttempt: a1\r\nKey: k1\r\n"
+        "Content-Length: " +
+        std::to_string(part.size()) + "\r\n\r\n" + part);
+    CHECK((is_raised ? harness.Gets(server, has_served ? 2 : 1)
+                     : harness.Receives(caller, "HTTP/1.1 413")));
+  }
+  SECTION("of headers") {
+    caller.channel->Write(
+        RelayHarness::Request("/a/2", "Long: " + part + "\r\n"));
+    CHECK((is_raised ? harness.Gets(server, has_served ? 2 : 1)
+                     : harness.Receives(caller, "HTTP/1.1 431")));
+  }
+}
+
+// Guards against a timer that keeps the timeout that was in force when the
+// connection became idle.
+TEST_CASE("An open connection is held to the newest idle timeout",
+          "[relay][session][limits]") {
+  RelayHarness harness;
+  const Duration header_timeout = std::chrono::seconds(3);
+  const bool has_served = GENERATE(false, true);
+  auto& server = harness.AddServer("s1");
+  SECTION("a longer one counts from the begin of the idle time") {
+    Configure(harness, Timeouts(header_timeout, std::chrono::seconds(5)));
+    Peer& caller = OpenConnection(harness, server, has_served);
+    Pass(harness, std::chrono::seconds(4));
+    Configure(harness, Timeouts(header_timeout, std::chrono::seconds(15)));
+    Pass(harness, std::chrono::seconds(10));
+    CHECK_FALSE(caller.ended);
+    Pass(harness, std::chrono::seconds(2));
+    CHECK(harness.Until([&] { return caller.ended; }));
+  }
+  SECTION("a shorter one counts from the change") {
+    Configure(harness, Timeouts(header_timeout, std::chrono::seconds(15)));
+    Peer& caller = OpenConnection(harness, server, has_served);
+    Pass(harness, std::chrono::seconds(6));
+    Configure(harness, Timeouts(header_timeout, std::chrono::seconds(5)));
+    Pass(harness, std::chrono::seconds(4));
+    CHECK_FALSE(caller.ended);
+    Pass(harness, std::chrono::seconds(2));
+    CHECK(harness.Until([&] { return caller.ended; }));
+  }
+}
+
+TEST_CASE("A request that is arriving is held to the newest timeout",
+          "[relay][session][limits]") {
+  RelayHarness harness;
+  const Duration idle_timeout = std::chrono::seconds(15);
+  Configure(harness, Timeouts(std::chrono::seconds(2), idle_timeout));
+  auto& server = harness.AddServer("s1");
+  Peer& caller = OpenConnection(harness, server, true);
+  caller.channel->Write("GET /a/ HTTP/1.1\r\n");
+  harness.runtime.Settle();
+  Pass(harness, std::chrono::seconds(1));
+  Configure(harness, Timeouts(std::chrono::seconds(6), idle_timeout));
+  Pass(harness, std::chrono::seconds(3));
+  CHECK(caller.received.empty());
+  Pass(harness, std::chrono::seconds(3));
+  CHECK(harness.Receives(caller, "HTTP/1.1 408"));
+}
+
 TEST_CASE("While the process drains, a connection closes after its response",
           "[relay][session]") {
   RelayHarness harness;
