Refuse streams that a planned stop would cut off at its end

Cause: a process that stops took every request until 3 s after it had noticed the signal. A process that is not scheduled for a moment notices it late, and a long stream can't end in the time that is left 3 s after it.

Change: DrainWindow counts from 0.5 s before the process noticed its stop. StreamDurations estimates how long a stream takes by its stated tokens; while the process stops, a stream that can't end in time is refused, not run.

--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -105,7 +105,8 @@
     this->SendLocalReply({503, "no time is left", std::nullopt});
     return false;
   }
-  if (!this->relay.drain_window.Admits(this->relay.Now(), this->deadline)) {
+  if (!this->relay.drain_window.Admits(this->relay.Now(), this->deadline,
+                                       this->ExpectedEnd())) {
     this->SendLocalReply(
         {503, "the process is about to stop", kStopRetryAfter});
     return false;
@@ -115,6 +116,14 @@
   return true;
 }
 
+TimePoint Exchange::ExpectedEnd() const {
+  const TimePoint now = this->relay.Now();
+  return this->route->streaming
+             ? now + this->relay.stream_durations.Estimate(
+                         this->service->name, this->metadata.output_tokens)
+             : now;
+}
+
 bool Exchange::CheckKey(const DeploymentConfiguration& configuration) {
   this->priority = this->route->priority;
   if (!configuration.has_workspaces) {
--- a/packages/relay/src/relay/exchange_responses.cc
+++ b/packages/relay/src/relay/exchange_responses.cc
@@ -290,6 +290,11 @@
     this->RecordPromptStart();
   }
   this->EndTry(true);
+  if (!this->metadata.last_event_id) {
+    this->relay.stream_durations.Record(this->service->name,
+                                        this->metadata.output_tokens,
+                                        this->relay.Now() - this->arrived);
+  }
   this->BeginResponse();
   this->sink.Write(kLastChunk);
   this->LogFinished("served", "");
--- a/packages/relay/src/relay/relay.h
+++ b/packages/relay/src/relay/relay.h
@@ -22,6 +22,7 @@
 #include "relay/route_table.h"
 #include "relay/server_directory.h"
 #include "relay/stalled_request_finder.h"
+#include "relay/stream_durations.h"
 #include "relay/timer_queue.h"
 #include "relay/upstream_pool.h"
 #include "storage/store_era.h"
@@ -79,6 +80,7 @@
   bool other_zones_known = true;
   bool draining = false;
   DrainWindow drain_window;
+  StreamDurations stream_durations;
   ResponseLimits response_limits;
   /// Null if the process does not control engines.
   EngineControl* engines = nullptr;
--- a/packages/relay/tests/relay/planned_stop_test.cc
+++ b/packages/relay/tests/relay/planned_stop_test.cc
@@ -7,19 +7,40 @@
 namespace {
 
 constexpr Duration kGrace = std::chrono::seconds(8);
+/// Time per token of the streams that the process has served.
+constexpr Duration kTokenTime = milliseconds(10);
 
 /// A process that began to stop `since` ago.
 struct StoppingProcess {
   explicit StoppingProcess(Duration since) {
     Route slow = MakeRoute("/slow/", RetryPolicy::kNever);
     slow.timeout = std::chrono::seconds(20);
-    this->harness.Configure({MakeRoute("/quick/", RetryPolicy::kNever), slow});
+    Route stream = slow;
+    stream.prefix = "/stream/";
+    stream.streaming = true;
+    this->harness.Configure(
+        {MakeRoute("/quick/", RetryPolicy::kNever), slow, stream});
+    for (int tokens = 100; tokens < 400; tokens += 10) {
+      this->harness.relay.stream_durations.Record("ledger", tokens,
+                                                  tokens * kTokenTime);
+    }
     this->server = &this->harness.AddServer("s1");
     const TimePoint now = this->harness.runtime.clock().Now();
     this->harness.relay.draining = true;
     this->harness.relay.drain_window.Begin(now - since, now - since + kGrace);
   }
 
+  bool Serves(const std::string& path, const std::string& headers = {}) {
+    std::ignore = this->harness.Call(RelayHarness::Request(path, headers));
+    return this->harness.Gets(*this->server, 1);
+  }
+  bool Refuses(const std::string& path, const std::string& headers = {}) {
+    Peer& caller = this->harness.Call(RelayHarness::Request(path, headers));
+    return this->harness.Receives(caller, "HTTP/1.1 503") &&
+           this->harness.Receives(caller, "Retry-After") &&
+           this->server->requests() == 0;
+  }
+
   RelayHarness harness;
   ScriptedServer* server;
 };
@@ -52,4 +73,30 @@
   CHECK(process.harness.Gets(*process.server, 1));
 }
 
+// Guards against requests that were cut off because the process, not scheduled
+// for a moment, had noticed the signal later than it was sent.
+TEST_CASE("Requests are served as if the stop had been requested earlier",
+          "[relay][stop]") {
+  SECTION("requests that the end could cut off") {
+    CHECK(StoppingProcess(milliseconds(2400)).Serves("/slow/1"));
+    CHECK(StoppingProcess(milliseconds(2600)).Refuses("/slow/1"));
+  }
+  SECTION("requests whose deadline is just before the end") {
+    // The timeout of the route is 2 s.
+    CHECK(StoppingProcess(milliseconds(5400)).Serves("/quick/1"));
+    CHECK(StoppingProcess(milliseconds(5600)).Refuses("/quick/1"));
+  }
+}
+
+// Guards against long streams that a process took shortly before its end, and
+// cut off in the middle although others could have served them.
+TEST_CASE("A stream that would not end before the grace period is refused",
+          "[relay][stop]") {
+  const int tokens = GENERATE(50, 300, 600);
+  const std::string headers = "Tokens: " + std::to_string(tokens) + "\r\n";
+  CHECK(StoppingProcess(milliseconds(500)).Serves("/stream/1", headers));
+  CHECK(StoppingProcess(milliseconds(500))
+            .Refuses("/stream/1", "Tokens: 800\r\n"));
+}
+
 }  // namespace qp::relay::testing
--- a/packages/relay/tests/relay/relay_harness.h
+++ b/packages/relay/tests/relay/relay_harness.h
@@ -36,6 +36,10 @@
     for (std::istringstream ids(parts); std::getline(ids, parts, ',');) {
       metadata.shared_parts.push_back(parts);
     }
+    const std::string tokens(http::HeaderOr(request, "Tokens"));
+    if (!tokens.empty()) {
+      metadata.output_tokens = std::stod(tokens);
+    }
     const std::string deadline(http::HeaderOr(request, "Deadline-Ms"));
     if (!deadline.empty()) {
       metadata.deadline = milliseconds(std::stoi(deadline));
