Bound what is kept of the responses of engines and of the store

Reported by other operators: a faulty server sent bytes that were no answer, without end, and the process that had called it ran out of memory.

Cause: http::Client had a limit of 16 MB for bodies, too much for a process that asks many engines at a time, and without effect: Beast 1.74 goes on with a body over the limit if its first bytes arrive together with the head.

Change: the client reads the head on its own, which makes the limit hold, and has limits of its own (ClientLimits).

Ruled out: requests of callers, which UpstreamCall bounds by itself.

--- a/packages/daemon/src/daemon/daemon.cc
+++ b/packages/daemon/src/daemon/daemon.cc
@@ -41,6 +41,11 @@
 
 constexpr std::string_view kPlacementLeaseKey = "lease/placement";
 
+/// Limits on a response of a backend server. A daemon has many calls to them at
+/// the same time, so the limit for the platform's services would not protect
+/// its memory.
+constexpr http::ClientLimits kBackendLimits{1024 * 1024, 64 * 1024};
+
 /// Differs between two starts of one daemon, which must not share a lease.
 std::string HolderOf(const DaemonSettings& settings, std::uint64_t random) {
   return settings.node + "/" + std::to_string(random);
@@ -110,6 +115,7 @@
   ControllerHandle cluster;
 
   http::Client client;
+  http::Client backend_client;
   HttpTable table_service;
   MonitoredTable table;
   GroupedTable grouped_table;
@@ -155,6 +161,7 @@
                  *this->link, &this->timeline, this->timeline, this->random()),
       cluster(this->controller),
       client(context, time),
+      backend_client(context, time, kBackendLimits),
       table_service(this->client, this->settings.table_address),
       table(this->table_service, this->timeline),
       grouped_table(time, this->table),
@@ -169,18 +176,18 @@
       readiness_controller(time, this->blackboard, this->cluster,
                            this->timeline, this->lifetime),
       backend_controller(context, time, this->blackboard, this->vm_list,
-                         this->client, this->cluster, this->timeline,
+                         this->backend_client, this->cluster, this->timeline,
                          this->lifetime),
       spending_controller(time, this->blackboard, this->backend_controller,
                           this->usage, this->lifetime),
-      placement_controller(context, time, this->blackboard, this->client,
-                           this->placement_lease, this->timeline,
-                           this->lifetime),
+      placement_controller(context, time, this->blackboard,
+                           this->backend_client, this->placement_lease,
+                           this->timeline, this->lifetime),
       admission(this->random()),
       chain_router(this->random()),
       service_router(this->random()),
-      engines(context, time, this->client),
-      services(this->client),
+      engines(context, time, this->backend_client),
+      services(this->backend_client),
       chat(time, this->blackboard, this->engines, this->admission,
            this->chain_router, this->retries, this->timeline, this->random()),
       plain(time, this->blackboard, this->grouped_table, this->services,
--- a/packages/http/src/http/client.cc
+++ b/packages/http/src/http/client.cc
@@ -21,26 +21,23 @@
 constexpr std::size_t kMaxIdleConnectionsPerAddress = 16;
 /// A connection that was idle for longer is closed instead of reused.
 constexpr Duration kMaxIdleTime = std::chrono::seconds(20);
-/// Largest response body of Client::Send. The store's pages hold 1 MB of rows
-/// before encoding, and a configuration change arrives in one response.
-constexpr std::uint64_t kMaxResponseBytes = 16 * 1024 * 1024;
-/// Largest part of a response that the parser needs in one piece: the head, or
-/// the header of a chunk with its extensions.
-constexpr std::size_t kMaxUnparsedBytes = 256 * 1024;
 /// Bounds the memory for a streamed body that contains no line feed.
 constexpr std::size_t kMaxLineBytes = 1024 * 1024;
 
 /// Connection to a server. The watchdog closes the socket when the timeout of
 /// the current exchange expires.
 struct ClientConnection {
-  ClientConnection(asio::io_context& io, Clock& clock)
-      : socket(io), watchdog(clock, io.get_executor(), Duration{0}, [this] {
+  ClientConnection(asio::io_context& io, Clock& clock,
+                   const ClientLimits& limits)
+      : socket(io),
+        buffer(limits.max_unparsed_bytes),
+        watchdog(clock, io.get_executor(), Duration{0}, [this] {
           boost::system::error_code ignored;
           this->socket.close(ignored);
         }) {}
 
   tcp::socket socket;
-  beast::flat_buffer buffer{kMaxUnparsedBytes};
+  beast::flat_buffer buffer;
   Watchdog watchdog;
   TimePoint idle_since{};
 };
@@ -196,8 +193,9 @@
 }  // namespace
 
 struct Client::State {
-  State(asio::io_context& context, Clock& time_source)
-      : io(context), clock(time_source) {}
+  State(asio::io_context& context, Clock& time_source,
+        ClientLimits response_limits)
+      : io(context), clock(time_source), limits(response_limits) {}
 
   /// Takes the latest reusable connection out of the pool and closes the stale
   /// ones found before it; null if there is none.
@@ -238,6 +236,7 @@
 
   asio::io_context& io;
   Clock& clock;
+  ClientLimits limits;
   std::map<std::string, std::vector<std::unique_ptr<ClientConnection>>,
            std::less<>>
       idle_by_address;
@@ -247,17 +246,25 @@
 
 /// Writes the request and reads the complete response on `connection`.
 Task<Result<Response>> Exchange(ClientConnection& connection,
-                                const std::string& address, Request& request) {
+                                const std::string& address, Request& request,
+                                const ClientLimits& limits) {
   const auto written = co_await WriteRequest(connection, address, request);
   if (!written) {
     co_return written.error();
   }
   beast::http::response_parser<AppendBody> parser;
-  parser.body_limit(kMaxResponseBytes);
+  parser.body_limit(limits.max_body_bytes);
   boost::system::error_code failure;
-  co_await beast::http::async_read(
+  // The head is read on its own because Beast 1.74 otherwise ignores the limit
+  // on bodies that state their length, if the body arrives with the head.
+  co_await beast::http::async_read_header(
       connection.socket, connection.buffer, parser,
       asio::redirect_error(asio::use_awaitable, failure));
+  if (!failure) {
+    co_await beast::http::async_read(
+        connection.socket, connection.buffer, parser,
+        asio::redirect_error(asio::use_awaitable, failure));
+  }
   if (failure) {
     co_return MakeError(ErrorCode::kUnknownEffect, "http.read", address,
                         failure, connection);
@@ -269,8 +276,8 @@
 
 }  // namespace
 
-Client::Client(asio::io_context& io, Clock& clock)
-    : state(std::make_shared<State>(io, clock)) {}
+Client::Client(asio::io_context& io, Clock& clock, ClientLimits limits)
+    : state(std::make_shared<State>(io, clock, limits)) {}
 
 Client::~Client() = default;
 
@@ -285,7 +292,8 @@
   }
   if (connection) {
     connection->watchdog.Restart(timeout);
-    auto response = co_await Exchange(*connection, address, request);
+    auto response =
+        co_await Exchange(*connection, address, request, shared_state->limits);
     const bool expired = connection->watchdog.expired();
     if (expired) {
       // What silenced this connection can have silenced the others too.
@@ -304,14 +312,15 @@
       co_return response;
     }
   }
-  connection =
-      std::make_unique<ClientConnection>(shared_state->io, shared_state->clock);
+  connection = std::make_unique<ClientConnection>(
+      shared_state->io, shared_state->clock, shared_state->limits);
   connection->watchdog.Restart(deadline - shared_state->clock.Now());
   const auto connected = co_await Connect(*connection, address);
   if (!connected) {
     co_return connected.error();
   }
-  auto response = co_await Exchange(*connection, address, request);
+  auto response =
+      co_await Exchange(*connection, address, request, shared_state->limits);
   if (response && response.value().keep_alive() && request.keep_alive()) {
     shared_state->Release(address, std::move(connection));
   }
@@ -321,8 +330,8 @@
 Task<Result<std::unique_ptr<ResponseStream>>> Client::Open(std::string address,
                                                            Request request,
                                                            Duration timeout) {
-  auto connection =
-      std::make_unique<ClientConnection>(this->state->io, this->state->clock);
+  auto connection = std::make_unique<ClientConnection>(
+      this->state->io, this->state->clock, this->state->limits);
   connection->watchdog.Restart(timeout);
   const auto connected = co_await Connect(*connection, address);
   if (!connected) {
--- a/packages/http/src/http/client.h
+++ b/packages/http/src/http/client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -34,6 +35,17 @@
 /// without an error from the write.
 enum class Connection { kReuse, kFresh };
 
+/// Limits on the memory for one response. Faulty servers send responses without
+/// end.
+struct ClientLimits {
+  /// Largest body of Client::Send. The store's pages hold 1 MB of rows before
+  /// encoding, and a configuration change arrives in one response.
+  std::uint64_t max_body_bytes = 16 * 1024 * 1024;
+  /// Largest part of a response that the parser needs in one piece: the head,
+  /// or the header of a chunk with its extensions.
+  std::size_t max_unparsed_bytes = 256 * 1024;
+};
+
 /// HTTP/1.1 client that pools idle connections for each address. A connection
 /// that failed or timed out is closed and not reused; after a timeout the idle
 /// connections to the same address are closed too. The same holds for a
@@ -46,13 +58,14 @@
 /// response that could be parsed arrived within the timeout.
 class Client {
  public:
-  Client(asio::io_context& io, Clock& clock);
+  Client(asio::io_context& io, Clock& clock, ClientLimits limits = {});
   ~Client();
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
 
   /// Sends `request` to `address` ("IP:port") and returns the complete
-  /// response. `timeout` covers connecting, writing and reading. A GET that
+  /// response. `timeout` covers connecting, writing and reading. A response
+  /// over the limits closes the connection and counts as incomplete. A GET that
   /// fails on a reused connection is sent once more on a new connection within
   /// `timeout`.
   Task<Result<Response>> Send(
--- a/packages/http/tests/http/exchange_test.cc
+++ b/packages/http/tests/http/exchange_test.cc
@@ -101,6 +101,27 @@
   }
 }
 
+TEST_CASE("A response over the client's limit is not kept", "[http]") {
+  Fixture fixture;
+  qp::http::ClientLimits limits;
+  limits.max_body_bytes = 10;
+  qp::http::Client client(fixture.runtime.io(), fixture.runtime.clock(),
+                          limits);
+  const auto send = [&](const char* body) {
+    return fixture.runtime.RunFor(
+        client.Send(fixture.address,
+                    qp::http::MakeRequest(qp::http::Verb::post, "/echo", body),
+                    1s),
+        10s);
+  };
+  const auto fitting = send("0123456789");
+  REQUIRE(fitting.has_value());
+  CHECK(fitting->has_value());
+  const auto too_long = send("0123456789a");
+  REQUIRE(too_long.has_value());
+  CHECK(too_long->has_error());
+}
+
 TEST_CASE("A request without a response in time reports an unknown effect",
           "[http]") {
   Fixture fixture;
