Count the heads of answers that are skipped

A server that sends short answers to other requests without end kept a call busy until its deadline: only the bodies of skipped answers were counted, and only before an answer was complete.

Change: UpstreamCall counts all bytes of answers that it skips or discards, and checks the limit after each part.

Evidence: "in short responses to another request" in hostile_response_test.cc failed before (4 MB read without an end); the call is given up after skipped_bytes now.

--- a/packages/relay/src/relay/upstream_call.cc
+++ b/packages/relay/src/relay/upstream_call.cc
@@ -174,16 +174,25 @@
   if (this->listener == nullptr && this->discarding == nullptr) {
     return false;
   }
-  if (this->parser->is_done()) {
-    return this->HandleMessageEnd();
-  }
+  this->CountSkippedBytes(used);
   if (this->ExceedsSkipLimits()) {
     this->Fail(ErrorCode::kProtocol, "an answer that is not used is too long");
     return false;
   }
+  if (this->parser->is_done()) {
+    return this->HandleMessageEnd();
+  }
   return used > 0 && !failure;
 }
 
+void UpstreamCall::CountSkippedBytes(std::size_t count) {
+  if (this->mismatched) {
+    this->mismatched_bytes += count;
+  } else if (this->listener == nullptr) {
+    this->discarded_bytes += count;
+  }
+}
+
 bool UpstreamCall::ExceedsSkipLimits() const {
   return this->mismatched_bytes > this->limits.skipped_bytes ||
          this->discarded_bytes > kMaxDiscardedBytes;
@@ -214,12 +223,8 @@
 }
 
 void UpstreamCall::HandleBody() {
-  std::string body = std::exchange(this->parser->get().body(), {});
-  if (this->mismatched) {
-    this->mismatched_bytes += body.size();
-  } else if (this->listener == nullptr) {
-    this->discarded_bytes += body.size();
-  } else if (!body.empty()) {
+  const std::string body = std::exchange(this->parser->get().body(), {});
+  if (!this->mismatched && this->listener != nullptr && !body.empty()) {
     this->listener->OnBody(body);
   }
 }
--- a/packages/relay/src/relay/upstream_call.h
+++ b/packages/relay/src/relay/upstream_call.h
@@ -104,6 +104,9 @@
   bool Parse();
   void HandleHead();
   void HandleBody();
+  /// Counts parsed bytes of a response that is not used, heads included: a
+  /// server can send short responses to other requests without end.
+  void CountSkippedBytes(std::size_t count);
   /// Whether more bytes of discarded responses or of responses to other
   /// requests have arrived than the limits allow.
   bool ExceedsSkipLimits() const;
--- a/packages/relay/tests/relay/hostile_response_test.cc
+++ b/packages/relay/tests/relay/hostile_response_test.cc
@@ -96,6 +96,11 @@
         "Content-Length: 1000000000000\r\n\r\n");
     CHECK(fixture.Flood(bytes, kFloodLimit));
   }
+  SECTION("in short responses to another request") {
+    CHECK(fixture.Flood(
+        "HTTP/1.1 200 OK\r\nAttempt: a0\r\nContent-Length: 0\r\n\r\n",
+        kFloodLimit));
+  }
   REQUIRE(fixture.harness.Gets(*fixture.other, 1));
   fixture.other->last().channel->Write(kSignedHead +
                                        "Content-Length: 4\r\n\r\ndone");
