Take resumable streams for 2.5 s of a planned stop

Streams that are cut off are resumed by their callers.

Change: until 2.5 s after SIGTERM only streams that can't be resumed are refused by the estimate; from then on resumable ones too, and requests of unknown length.

--- a/packages/relay/src/relay/drain_window.h
+++ b/packages/relay/src/relay/drain_window.h
@@ -7,16 +7,29 @@
 
 namespace qp::relay {
 
+/// What is known, when a request arrives, about the end of its response.
+struct RequestEnd {
+  TimePoint deadline{};
+  /// Time that the response is unlikely to exceed; empty if unknown.
+  std::optional<TimePoint> expected;
+  /// Whether the caller can resume the response with another process.
+  bool can_resume = false;
+};
+
 /// Decides which requests a process still takes while it is being stopped.
 ///
 /// New connections arrive until the load balancer has noticed that the process
 /// is not ready, and requests from then on only on connections that were open
-/// already. A request that can still be running at the end of the grace period
-/// would be cut off, and callers can send it to another process instead.
+/// already. A request that is still running at the end of the grace period is
+/// cut off. Its caller can send it to another process instead, but repeats it
+/// only once or twice, and other processes can be stopping too. So a request
+/// is refused only if it is likely to be cut off and can't be resumed, until
+/// the load balancer must have noticed the stop.
 ///
-/// Whoever stops the process counts the grace period from the signal, which a
-/// process that was not scheduled notices late. All times that requests depend
-/// on are therefore earlier by kNoticeDelay.
+/// Whoever stops the process counts from the signal, which a process that was
+/// not scheduled notices late. The end of the grace period, and the time by
+/// which the load balancer must have noticed, are therefore taken to be earlier
+/// by kNoticeDelay.
 class DrainWindow {
  public:
   /// Time from the start of a drain during which new connections are accepted:
@@ -28,14 +41,13 @@
   /// The process stops itself at `stop_at`.
   void Begin(TimePoint now, TimePoint stop_at);
 
-  /// Whether a request with `deadline` that arrives now is taken. Always true
-  /// before Begin. `expected_end`: estimated end of its response.
-  bool Admits(TimePoint now, TimePoint deadline, TimePoint expected_end) const;
+  /// Whether a request that arrives now is taken. Always true before Begin.
+  bool Admits(TimePoint now, const RequestEnd& request) const;
   /// End of the time during which new connections are accepted.
   TimePoint accept_until() const { return this->accept_end; }
 
  private:
-  /// No request may be running at this time.
+  /// Requests that still run then can be cut off; empty before Begin.
   std::optional<TimePoint> end;
   TimePoint accept_end{};
 };
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -105,7 +105,7 @@
     this->SendLocalReply({503, "no time is left", std::nullopt});
     return false;
   }
-  if (!this->relay.drain_window.Admits(this->relay.Now(), this->deadline,
+  if (!this->relay.drain_window.Admits(this->relay.Now(),
                                        this->ExpectedEnd())) {
     this->SendLocalReply(
         {503, "the process is about to stop", kStopRetryAfter});
@@ -116,12 +116,17 @@
   return true;
 }
 
-TimePoint Exchange::ExpectedEnd() const {
-  const TimePoint now = this->relay.Now();
-  return this->route->streaming
-             ? now + this->relay.stream_durations.Estimate(
-                         this->service->name, this->metadata.output_tokens)
-             : now;
+RequestEnd Exchange::ExpectedEnd() const {
+  RequestEnd end;
+  end.deadline = this->deadline;
+  if (this->route->streaming) {
+    end.can_resume = this->MayRetry();
+    if (const auto duration = this->relay.stream_durations.Estimate(
+            this->service->name, this->metadata.output_tokens)) {
+      end.expected = this->relay.Now() + *duration;
+    }
+  }
+  return end;
 }
 
 bool Exchange::CheckKey(const DeploymentConfiguration& configuration) {
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -80,8 +80,8 @@
   /// Checks the request before a server is chosen. False if the request was
   /// answered with a local reply.
   bool Admit();
-  /// Estimated end of the response to a request that is sent now.
-  TimePoint ExpectedEnd() const;
+  /// End of the response if the request is sent now.
+  RequestEnd ExpectedEnd() const;
   /// Looks up the API key of the request and sets `workspace` and `priority`.
   /// False if the key is not known and the route does not admit anonymous
   /// requests.
--- a/packages/relay/src/relay/stream_durations.cc
+++ b/packages/relay/src/relay/stream_durations.cc
@@ -35,11 +35,11 @@
   average.deviation += kDeviationWeight * (std::abs(error) - average.deviation);
 }
 
-Duration StreamDurations::Estimate(std::string_view service,
-                                   double tokens) const {
+std::optional<Duration> StreamDurations::Estimate(std::string_view service,
+                                                  double tokens) const {
   const auto found = this->averages.find(service);
   if (found == this->averages.end() || !(tokens > 0)) {
-    return Duration{0};
+    return std::nullopt;
   }
   const Average& average = found->second;
   const Seconds estimate(tokens *
--- a/packages/relay/src/relay/stream_durations.h
+++ b/packages/relay/src/relay/stream_durations.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -20,8 +21,10 @@
   /// `duration`. Ignored if the number of tokens is not positive.
   void Record(std::string_view service, double tokens, Duration duration);
   /// Duration that most streams with `tokens` stated tokens don't exceed, at
-  /// most kMaxEstimate. Zero if no stream of the service has ended yet.
-  Duration Estimate(std::string_view service, double tokens) const;
+  /// most kMaxEstimate. Empty if no stream of the service has ended yet or
+  /// `tokens` is not positive.
+  std::optional<Duration> Estimate(std::string_view service,
+                                   double tokens) const;
 
   static constexpr Duration kMaxEstimate = std::chrono::hours(1);
 
