Record the requests that the end of a planned stop cuts off

Callers saw streams without a whole answer around SIGTERM, and no line of the stopping process named them: CloseAll destroyed the exchanges without an event.

Running requests now end with a 7001 line, outcome aborted and why "the process stopped", as do requests that have arrived only in part or are unread; all are counted as aborted. 7024 response_truncated names connections that close with unsent bytes, with their number and the cause.

Before the change "The end of a planned stop records the requests that it cuts off" failed. The test of unsent bytes was rewritten afterwards and has not run on the old code.

--- a/packages/foundation/src/foundation/event.cc
+++ b/packages/foundation/src/foundation/event.cc
@@ -192,6 +192,10 @@
               Severity::kInfo,
               "The restored store lists an older state of a backend server "
               "than is known; it is not used until the server writes again."},
+    EventInfo{EventId::kResponseTruncated, "response_truncated",
+              Severity::kWarning,
+              "A caller's connection ended before its last response had been "
+              "sent; `why` says by what, `unsent_bytes` how much was left."},
 };
 
 }  // namespace
--- a/packages/relay/src/relay/caller_listener.cc
+++ b/packages/relay/src/relay/caller_listener.cc
@@ -90,7 +90,7 @@
     }
   }
   for (const auto& session : idle) {
-    session->Close();
+    session->Close("a planned stop closed the idle connection");
   }
 }
 
@@ -103,7 +103,7 @@
 void CallerListener::CloseAll() {
   const auto sessions = this->open_sessions;
   for (const auto& [key, session] : sessions) {
-    session->Close();
+    session->CloseForStop();
   }
 }
 
--- a/packages/relay/src/relay/caller_listener.h
+++ b/packages/relay/src/relay/caller_listener.h
@@ -25,7 +25,8 @@
   void StopAccepting();
   /// Closes the sessions that are idle (CallerSession::IsIdle).
   void CloseIdle();
-  /// Closes all sessions and cancels their requests.
+  /// Closes all sessions at the end of a planned stop and records the requests
+  /// that this cuts off.
   void CloseAll();
   /// Applies the timeouts of a new configuration to all open sessions.
   void ApplyTimeouts();
--- a/packages/relay/src/relay/caller_session.cc
+++ b/packages/relay/src/relay/caller_session.cc
@@ -65,7 +65,7 @@
     if (this->request_begun) {
       this->Reject(408, "the request took too long");
     } else {
-      this->Close();
+      this->Close("the connection was idle for too long");
     }
   });
 }
@@ -98,7 +98,7 @@
     this->relay.events.Record(
         EventId::kRelayRequestFinished,
         {{"outcome", "aborted"}, {"why", failure.what()}});
-    this->Close();
+    this->Close(failure.what());
   }
 }
 
@@ -196,6 +196,7 @@
 void CallerSession::Finish() {
   const auto self = this->shared_from_this();
   const bool keep_open = this->keeps_open();
+  this->last_request_id = this->exchange->id();
   this->exchange.reset();
   this->has_served = true;
   if (!keep_open) {
@@ -207,19 +208,57 @@
   this->ParseInput();
 }
 
-void CallerSession::Abort() { this->Close(); }
+void CallerSession::Abort() { this->Close("the response was aborted"); }
 
-void CallerSession::Close() {
+void CallerSession::Close(std::string_view why) {
   if (std::exchange(this->closed, true)) {
     return;
   }
   const auto self = this->shared_from_this();
   this->read_timer.Cancel();
+  if (this->exchange == nullptr && this->channel->unsent() > 0) {
+    this->relay.events.Record(
+        EventId::kResponseTruncated,
+        {{"request", this->last_request_id},
+         {"why", std::string(why)},
+         {"unsent_bytes", std::to_string(this->channel->unsent())}});
+  }
   this->exchange.reset();
   this->channel->Close();
   this->owner.OnSessionClosed(this);
 }
 
+void CallerSession::CloseForStop() {
+  if (this->closed) {
+    return;
+  }
+  if (this->exchange != nullptr) {
+    this->exchange->CancelForStop();
+  } else if (this->request_begun && !this->finishing) {
+    this->RecordCutRequest(
+        "the process stopped before the request had arrived whole");
+  } else if (!this->finishing && this->channel->has_input()) {
+    this->RecordCutRequest("the process stopped before the request was read");
+  }
+  this->Close("the process stopped");
+}
+
+void CallerSession::RecordCutRequest(std::string_view why) {
+  this->relay.metrics.Count("quetzalpost_requests_total", "aborted");
+  this->relay.events.Record(EventId::kRelayRequestFinished,
+                            {{"request", this->ArrivingRequestId()},
+                             {"outcome", "aborted"},
+                             {"why", std::string(why)}});
+}
+
+std::string CallerSession::ArrivingRequestId() const {
+  if (!this->request_begun || !this->parser->is_header_done()) {
+    return {};
+  }
+  const http::Request request(this->parser->get().base(), std::string());
+  return this->relay.protocol.ParseRequest(request).attempt_id;
+}
+
 void CallerSession::Reject(unsigned status, std::string_view why) {
   const auto self = this->shared_from_this();
   this->relay.metrics.Count("quetzalpost_requests_total",
@@ -239,27 +278,29 @@
     this->CloseOrLinger();
     return;
   }
-  this->read_timer.Start(this->relay.Now() + kLastWriteTimeout,
-                         [this] { this->Close(); });
+  this->read_timer.Start(this->relay.Now() + kLastWriteTimeout, [this] {
+    this->Close("the caller did not read the response in time");
+  });
 }
 
 void CallerSession::CloseOrLinger() {
   if (!this->linger_after_writes) {
-    this->Close();
+    this->Close("the response was sent");
     return;
   }
   this->linger_after_writes = false;
   this->channel->ShutdownWrites();
   this->read_timer.Start(this->relay.Now() + kLingerTimeout,
-                         [this] { this->Close(); });
+                         [this] { this->Close("the response was sent"); });
 }
 
-void CallerSession::OnClose(const boost::system::error_code&) {
+void CallerSession::OnClose(const boost::system::error_code& failure) {
   const auto self = this->shared_from_this();
   if (this->exchange != nullptr) {
     this->exchange->Cancel();
   }
-  this->Close();
+  this->Close(failure ? "the connection failed: " + failure.message()
+                      : "the caller closed the connection");
 }
 
 }  // namespace qp::relay
--- a/packages/relay/src/relay/caller_session.h
+++ b/packages/relay/src/relay/caller_session.h
@@ -36,8 +36,12 @@
   /// no request is running, no input has arrived, and kFirstRequestTimeout has
   /// passed if the caller has not sent its first request yet.
   bool IsIdle() const;
-  /// Closes the connection at once and cancels a running request.
-  void Close();
+  /// Closes the connection at once and cancels a running request. `why` is
+  /// recorded if a part of the last response has not been sent.
+  void Close(std::string_view why);
+  /// Closes the connection at the end of a planned stop and records the request
+  /// that this cuts off, if any.
+  void CloseForStop();
   /// Applies the timeouts of a new configuration to the current wait for the
   /// caller. A shorter one counts from now on, because the caller could rely on
   /// the longer one until now.
@@ -87,6 +91,11 @@
   /// closes the connection.
   void Reject(unsigned status, std::string_view why);
   void HandleBytes(std::string_view bytes);
+  /// Records a request that the end of a planned stop cuts off before it has
+  /// become an exchange.
+  void RecordCutRequest(std::string_view why);
+  /// Id of the request that is arriving; empty if its head is incomplete.
+  std::string ArrivingRequestId() const;
   /// Reads no further request. Calls CloseOrLinger when all bytes have been
   /// written, but closes the connection after kLastWriteTimeout at the latest.
   /// `linger`: the caller can still be sending.
@@ -115,8 +124,9 @@
   TimePoint opened_at{};
   TimePoint idle_since{};
   TimePoint request_begun_at{};
-  ScopedTimer read_timer;  ///< Timeout of the current wait for the caller.
-  TimePoint read_due{};    ///< End of that timeout.
+  ScopedTimer read_timer;       ///< Timeout of the current wait for the caller.
+  TimePoint read_due{};         ///< End of that timeout.
+  std::string last_request_id;  ///< Of the last finished exchange.
   /// The running request; null if there is none.
   std::unique_ptr<Exchange> exchange;
 };
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -66,6 +66,11 @@
   this->LogFinished("caller_left", "");
 }
 
+void Exchange::CancelForStop() {
+  this->AbandonTry();
+  this->LogFinished("aborted", "the process stopped");
+}
+
 bool Exchange::Admit() {
   this->active_configuration = this->relay.active_configuration;
   if (this->active_configuration == nullptr ||
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -57,8 +57,12 @@
   /// Called when the caller has disconnected. Cancels the request at the
   /// server.
   void Cancel();
+  /// Called when the process stops. Cancels the request at the server.
+  void CancelForStop();
   /// Called when all bytes written to the sink have been sent.
   void OnSinkWritten();
+  /// The request's id from the caller; empty before Start.
+  const std::string& id() const { return this->metadata.attempt_id; }
 
   void OnServerMetadata(unsigned status,
                         const ResponseMetadata& metadata) override;
--- a/packages/relay/tests/relay/relay_harness.h
+++ b/packages/relay/tests/relay/relay_harness.h
@@ -12,6 +12,7 @@
 
 #include "relay/caller_listener.h"
 #include "relay/configurations.h"
+#include "relay/recording_event_sink.h"
 #include "relay/relay.h"
 #include "testing/test_runtime.h"
 
@@ -245,7 +246,7 @@
   }
 
   qp::testing::TestRuntime runtime;
-  NullEventSink events;
+  RecordingEventSink events;
   PlainProtocol protocol;
   RelayContext relay;
   CallerListener listener;
