Log why a caller's connection ended

What operators saw: 7001 `caller_left` for each end of a caller's connection, whoever caused it. After a reset with unsent bytes even 7024 spoke of an orderly close, because a write that fails takes the error of the socket, and the next read then ends like a close by the caller.

Change: Channel keeps the failure of a write; 7001 `caller_left` and 7024 have the cause of the end as `why`.

--- a/packages/relay/src/relay/channel.cc
+++ b/packages/relay/src/relay/channel.cc
@@ -126,7 +126,8 @@
       asio::buffer(bytes.data(), bytes.size()), failure);
   this->total_written += count;
   if (failure && failure != asio::error::would_block) {
-    // The next read reports the failure to the reader.
+    // The next read ends the channel.
+    this->failed_write = failure;
     return;
   }
   if (count < bytes.size()) {
@@ -159,6 +160,7 @@
   this->total_written += count;
   this->flushed_bytes += count;
   if (failure && failure != asio::error::would_block) {
+    this->failed_write = failure;
     return;
   }
   if (this->unsent() > 0) {
--- a/packages/relay/src/relay/channel.h
+++ b/packages/relay/src/relay/channel.h
@@ -58,6 +58,11 @@
   }
   /// Bytes handed to the operating system so far.
   std::uint64_t written() const { return this->total_written; }
+  /// Failure of the last write that failed; none if all have succeeded. A read
+  /// that follows a failed write can end like an orderly close by the peer.
+  const boost::system::error_code& write_failure() const {
+    return this->failed_write;
+  }
 
  private:
   void WaitForReadable();
@@ -77,6 +82,7 @@
   /// accepted.
   std::size_t flushed_bytes = 0;
   std::uint64_t total_written = 0;
+  boost::system::error_code failed_write;
 };
 
 }  // namespace qp::relay
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -61,9 +61,9 @@
   }
 }
 
-void Exchange::Cancel() {
+void Exchange::Cancel(std::string_view why) {
   this->AbandonTry();
-  this->LogFinished("caller_left", "");
+  this->LogFinished("caller_left", why);
 }
 
 void Exchange::CancelForStop() {
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -54,9 +54,9 @@
   ~Exchange() override;
 
   void Start();
-  /// Called when the caller has disconnected. Cancels the request at the
-  /// server.
-  void Cancel();
+  /// Called when the caller's connection has ended, because of `why`. Cancels
+  /// the request at the server.
+  void Cancel(std::string_view why);
   /// Called when the process stops. Cancels the request at the server.
   void CancelForStop();
   /// Called when all bytes written to the sink have been sent.
--- a/packages/relay/tests/relay/stop_log_test.cc
+++ b/packages/relay/tests/relay/stop_log_test.cc
@@ -1,3 +1,4 @@
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include "relay/relay_harness.h"
@@ -144,4 +145,27 @@
         "the connection failed: Connection reset by peer");
 }
 
+// Guards against lost connections that the log shows as callers who left.
+TEST_CASE("The end of a caller's connection is recorded with its cause",
+          "[relay][log]") {
+  LoggingProcess process;
+  asio::ip::tcp::socket caller(process.harness.runtime.io());
+  caller.connect(
+      {asio::ip::address_v4::loopback(), process.harness.listener.port()});
+  const std::string request = RelayHarness::Request("/a/1");
+  asio::write(caller, asio::buffer(request));
+  REQUIRE(process.harness.Gets(*process.server, 1));
+  std::string why = "the caller closed the connection";
+  SECTION("an orderly close") {}
+  SECTION("a reset") {
+    caller.set_option(asio::socket_base::linger(true, 0));
+    why = "the connection failed: Connection reset by peer";
+  }
+  caller.close();
+  REQUIRE(process.harness.Until(
+      [&] { return process.harness.listener.sessions() == 0; }));
+  CHECK(process.OnlyFinished().Field("outcome") == "caller_left");
+  CHECK(process.OnlyFinished().Field("why") == why);
+}
+
 }  // namespace qp::relay::testing
