Give truncated responses an allowance of log lines of their own

What operators saw: the log of a process that stopped said that 6 lines were suppressed, and no line named the two streams that it had cut off.

Cause: lines about served requests and about broken-off ones shared one allowance of 60 a second, and a process that stops didn't report what it had left out since the last second.

Change: requests that end without a whole response have their own allowance; the burst names one for each of 1,000 connections. 7006 counts them apart, and is recorded at the end of a stop, after the lines of the requests that the end cuts off. While a process stops, 7001 has `stop_ms`, the time since SIGTERM.

--- a/packages/foundation/src/foundation/event.cc
+++ b/packages/foundation/src/foundation/event.cc
@@ -125,9 +125,11 @@
               "An entry of the store could not be read and is not used."},
     EventInfo{EventId::kSettingsReloaded, "settings_reloaded", Severity::kInfo,
               "Changed settings are in use."},
-    EventInfo{EventId::kLogLinesSuppressed, "log_lines_suppressed",
-              Severity::kWarning,
-              "Lines about single requests were left out to bound the log."},
+    EventInfo{
+        EventId::kLogLinesSuppressed, "log_lines_suppressed",
+        Severity::kWarning,
+        "Lines about single requests were left out to bound the log; "
+        "`truncated` of them are about requests without a whole response."},
     EventInfo{EventId::kServerListed, "server_listed", Severity::kInfo,
               "The store lists a backend server or a new incarnation of it."},
     EventInfo{EventId::kServerUnlisted, "server_unlisted", Severity::kInfo,
--- a/packages/relay/src/relay/drain_window.cc
+++ b/packages/relay/src/relay/drain_window.cc
@@ -5,6 +5,7 @@
 namespace qp::relay {
 
 void DrainWindow::Begin(TimePoint now, TimePoint stop_at) {
+  this->began = now;
   this->end = stop_at - kNoticeDelay;
   this->accept_end = std::min(now + kAcceptTime, stop_at);
 }
--- a/packages/relay/src/relay/drain_window.h
+++ b/packages/relay/src/relay/drain_window.h
@@ -43,10 +43,13 @@
 
   /// Whether a request that arrives now is taken. Always true before Begin.
   bool Admits(TimePoint now, const RequestEnd& request) const;
+  /// When the stop began; empty before Begin.
+  const std::optional<TimePoint>& began_at() const { return this->began; }
   /// End of the time during which new connections are accepted.
   TimePoint accept_until() const { return this->accept_end; }
 
  private:
+  std::optional<TimePoint> began;
   /// Requests that still run then can be cut off; empty before Begin.
   std::optional<TimePoint> end;
   TimePoint accept_end{};
--- a/packages/relay/src/relay/entry_daemon.cc
+++ b/packages/relay/src/relay/entry_daemon.cc
@@ -249,10 +249,11 @@
       }
       co_await SleepFor(this->clock, kDrainCheckInterval);
     }
-    this->events.Record(
-        EventId::kDaemonStopped,
-        {{"unfinished", std::to_string(this->listener.sessions())}});
+    const auto unfinished = this->listener.sessions();
     this->listener.CloseAll();
+    this->events.ReportSuppressed();
+    this->events.Record(EventId::kDaemonStopped,
+                        {{"unfinished", std::to_string(unfinished)}});
     this->io.stop();
   }
 
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -411,26 +411,28 @@
   this->relay.metrics.Count("quetzalpost_requests_total", outcome);
   this->relay.metrics.Observe("quetzalpost_request_seconds",
                               now - this->arrived);
-  this->relay.events.Record(
-      EventId::kRelayRequestFinished,
-      {{"request", this->metadata.attempt_id},
-       {"route", this->route == nullptr ? "" : this->route->name},
-       {"workspace", this->workspace},
-       {"configuration",
-        this->active_configuration == nullptr
-            ? ""
-            : std::to_string(
-                  this->active_configuration->configuration.version)},
-       {"configuration_age_ms",
-        FormatMillis(now - this->relay.configuration_freshness.verified_at())},
-       {"outcome", std::string(outcome)},
-       {"why", std::string(why)},
-       {"server", this->server == nullptr ? "" : this->server->record.id},
-       {"chain", FormatChain(this->chain)},
-       {"tries", std::to_string(this->tries)},
-       {"first_event_ms", FormatMillis(this->time_to_first_event)},
-       {"longest_gap_ms", FormatMillis(this->max_event_gap)},
-       {"ms", FormatMillis(now - this->arrived)}});
+  std::vector<EventField> fields = {
+      {"request", this->metadata.attempt_id},
+      {"route", this->route == nullptr ? "" : this->route->name},
+      {"workspace", this->workspace},
+      {"configuration",
+       this->active_configuration == nullptr
+           ? ""
+           : std::to_string(this->active_configuration->configuration.version)},
+      {"configuration_age_ms",
+       FormatMillis(now - this->relay.configuration_freshness.verified_at())},
+      {"outcome", std::string(outcome)},
+      {"why", std::string(why)},
+      {"server", this->server == nullptr ? "" : this->server->record.id},
+      {"chain", FormatChain(this->chain)},
+      {"tries", std::to_string(this->tries)},
+      {"first_event_ms", FormatMillis(this->time_to_first_event)},
+      {"longest_gap_ms", FormatMillis(this->max_event_gap)},
+      {"ms", FormatMillis(now - this->arrived)}};
+  if (const auto& began = this->relay.drain_window.began_at()) {
+    fields.push_back({"stop_ms", FormatMillis(now - *began)});
+  }
+  this->relay.events.Record(EventId::kRelayRequestFinished, std::move(fields));
 }
 
 }  // namespace qp::relay
--- a/packages/relay/src/relay/rate_limited_event_sink.cc
+++ b/packages/relay/src/relay/rate_limited_event_sink.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <span>
 #include <utility>
 
 namespace qp::relay {
@@ -15,34 +16,53 @@
          id == EventId::kServerLimited || id == EventId::kServerLimitEnded;
 }
 
+/// Whether the event says that a request ended without a whole response.
+bool ReportsTruncation(EventId id, std::span<const EventField> fields) {
+  return id == EventId::kResponseTruncated ||
+         (id == EventId::kRelayRequestFinished &&
+          std::any_of(fields.begin(), fields.end(), [](const auto& field) {
+            return field.name == "outcome" && field.value == "aborted";
+          }));
+}
+
 }  // namespace
 
 RateLimitedEventSink::RateLimitedEventSink(EventSink& target, const Clock& time)
-    : inner(target), clock(time), refilled_at(time.Now()) {}
+    : inner(target),
+      clock(time),
+      ordinary{kBurst, time.Now()},
+      truncated{kTruncatedBurst, time.Now()} {}
 
 void RateLimitedEventSink::Record(EventId id, std::vector<EventField> fields) {
-  if (ConcernsOneRequest(id) && !this->TryAcquireToken()) {
-    ++this->suppressed;
-    return;
+  const TimePoint now = this->clock.Now();
+  const bool passes =
+      ReportsTruncation(id, fields)
+          ? this->truncated.TryAcquire(now)
+          : !ConcernsOneRequest(id) || this->ordinary.TryAcquire(now);
+  if (passes) {
+    this->inner.Record(id, std::move(fields));
   }
-  this->inner.Record(id, std::move(fields));
 }
 
 void RateLimitedEventSink::ReportSuppressed() {
-  const auto count = std::exchange(this->suppressed, 0);
-  if (count > 0) {
+  const auto truncated_lines = std::exchange(this->truncated.suppressed, 0);
+  const auto lines =
+      truncated_lines + std::exchange(this->ordinary.suppressed, 0);
+  if (lines > 0) {
     this->inner.Record(EventId::kLogLinesSuppressed,
-                       {{"lines", std::to_string(count)}});
+                       {{"lines", std::to_string(lines)},
+                        {"truncated", std::to_string(truncated_lines)}});
   }
 }
 
-bool RateLimitedEventSink::TryAcquireToken() {
-  const TimePoint now = this->clock.Now();
+bool RateLimitedEventSink::Allowance::TryAcquire(TimePoint now) {
   const double elapsed =
       std::chrono::duration<double>(now - this->refilled_at).count();
   this->refilled_at = now;
-  this->tokens = std::min(kBurst, this->tokens + elapsed * kLinesPerSecond);
+  this->tokens =
+      std::min(this->burst, this->tokens + elapsed * kLinesPerSecond);
   if (this->tokens < 1) {
+    ++this->suppressed;
     return false;
   }
   this->tokens -= 1;
--- a/packages/relay/src/relay/rate_limited_event_sink.h
+++ b/packages/relay/src/relay/rate_limited_event_sink.h
@@ -9,7 +9,9 @@
 namespace qp::relay {
 
 /// Limits the rate of events that concern single requests, so that a flood of
-/// requests does not flood the log. All other events pass.
+/// requests does not flood the log. All other events pass. Requests that ended
+/// without a whole response have an allowance of their own, so that others
+/// never hide them.
 class RateLimitedEventSink : public EventSink {
  public:
   /// Average rate of lines that pass. It bounds the log of the smallest VM,
@@ -18,6 +20,9 @@
   static constexpr double kLinesPerSecond = 60;
   /// Number of lines that can pass at once after 4 s without any.
   static constexpr double kBurst = 240;
+  /// The same for requests that ended without a whole response. At the end of a
+  /// planned stop there can be one for each connection of the process.
+  static constexpr double kTruncatedBurst = 1000;
 
   RateLimitedEventSink(EventSink& inner, const Clock& clock);
 
@@ -26,13 +31,21 @@
   void ReportSuppressed();
 
  private:
-  bool TryAcquireToken();
+  /// Allowance of one kind of lines, and the lines that exceeded it.
+  struct Allowance {
+    double burst = 0;
+    TimePoint refilled_at;
+    double tokens = burst;
+    std::uint64_t suppressed = 0;
+
+    /// Whether a line can pass now. Counts it otherwise.
+    bool TryAcquire(TimePoint now);
+  };
 
   EventSink& inner;
   const Clock& clock;
-  double tokens = kBurst;
-  TimePoint refilled_at;
-  std::uint64_t suppressed = 0;
+  Allowance ordinary;
+  Allowance truncated;
 };
 
 }  // namespace qp::relay
