Keep connections open until their last response is written

What callers saw: by reading, a caller that reads slowly could get half of an answer when its process stopped.

Cause: CallerSession::IsIdle didn't ask for unsent bytes, so CloseIdle closed connections whose request had ended but whose answer was still in the buffers of the process. A response that ends while the process stops was written whole already.

Change: a connection with unsent bytes isn't idle. A caller that never reads is cut off at the end of the grace period, as one with a running request is.

Test: "A planned stop keeps a connection until its response is written" fails on: the session was closed and the caller had not received 24 MB.

--- a/packages/relay/src/relay/caller_session.cc
+++ b/packages/relay/src/relay/caller_session.cc
@@ -30,7 +30,7 @@
       this->relay.Now() < this->opened_at + kFirstRequestTimeout;
   return !this->closed && !this->finishing && this->exchange == nullptr &&
          this->input.empty() && !this->request_begun && !awaits_first_request &&
-         !this->channel->has_input();
+         this->channel->unsent() == 0 && !this->channel->has_input();
 }
 
 const CallerLimits& CallerSession::Limits() const {
--- a/packages/relay/src/relay/caller_session.h
+++ b/packages/relay/src/relay/caller_session.h
@@ -33,8 +33,9 @@
 
   void Start();
   /// Whether a planned stop can close the connection without losing a request:
-  /// no request is running, no input has arrived, and kFirstRequestTimeout has
-  /// passed if the caller has not sent its first request yet.
+  /// no request is running, all responses are written, no input has arrived,
+  /// and kFirstRequestTimeout has passed if the caller has not sent its first
+  /// request yet.
   bool IsIdle() const;
   /// Closes the connection at once and cancels a running request. `why` is
   /// recorded if a part of the last response has not been sent.
--- a/packages/relay/tests/relay/caller_session_test.cc
+++ b/packages/relay/tests/relay/caller_session_test.cc
@@ -319,6 +319,31 @@
   CHECK(harness.Until([&] { return harness.listener.sessions() == 0; }));
 }
 
+// Guards against truncated responses: a planned stop closed a connection whose
+// caller had not yet received all of the last response.
+TEST_CASE("A planned stop keeps a connection until its response is written",
+          "[relay][session][stop]") {
+  RelayHarness harness;
+  harness.Configure({MakeRoute("/a/", RetryPolicy::kNever)});
+  harness.relay.response_limits.unsent_bytes = 64 << 20;
+  auto& server = harness.AddServer("s1");
+  Peer& caller = harness.Call(RelayHarness::Request("/a/1"));
+  REQUIRE(harness.Gets(server, 1));
+  caller.channel->Pause();
+  server.last().channel->Write(OkResponse(std::string(24 << 20, 'x')));
+  REQUIRE(harness.Until(
+      [&] { return harness.relay.servers.Find("s1")->in_flight == 0; }));
+  harness.relay.draining = true;
+  harness.listener.CloseIdle();
+  CHECK(harness.listener.sessions() == 1);
+  caller.channel->Resume();
+  CHECK(harness.Until([&] {
+    harness.listener.CloseIdle();
+    return caller.ended;
+  }));
+  CHECK(CountOf(caller.received, "x") >= (24 << 20));
+}
+
 // Guards against an error response that the caller never reads: closing the
 // connection while the request's body was still arriving reset the connection.
 TEST_CASE("An error response in the middle of a request is not lost to a reset",
