Answer requests that were read before their connection's close was announced

The connection was closed after the earlier answer, although that answer had not said so.

Cause: whether a connection stays open was asked again when a response ended, not when its head was written, and input that had arrived was dropped. Class of fault: a promise to the caller is judged by a later state than the one in which it was given.

Change: the head decides. A response announces the close while the process stops if no further input has arrived; the connection closes after a response that announced it, and otherwise once it is idle (CloseIdle).

--- a/packages/relay/src/relay/caller_session.cc
+++ b/packages/relay/src/relay/caller_session.cc
@@ -46,6 +46,7 @@
   this->request_begun = false;
   this->continue_sent = false;
   this->response_begun = false;
+  this->close_announced = false;
   this->idle_since = this->relay.Now();
   this->WaitForCaller(this->idle_since + this->Limits().idle_timeout);
 }
@@ -185,17 +186,22 @@
 }
 
 void CallerSession::Write(std::string_view bytes) {
-  this->response_begun = true;
+  if (!std::exchange(this->response_begun, true)) {
+    this->close_announced = !this->keeps_open();
+  }
   this->channel->Write(bytes);
 }
 
 bool CallerSession::keeps_open() const {
-  return this->keep_alive && !this->relay.draining;
+  // Input that has already arrived is served before the connection closes.
+  return this->keep_alive && (!this->relay.draining || !this->input.empty() ||
+                              this->channel->has_input());
 }
 
 void CallerSession::Finish() {
   const auto self = this->shared_from_this();
-  const bool keep_open = this->keeps_open();
+  // A caller that was not told of the close can have sent its next request.
+  const bool keep_open = this->keep_alive && !this->close_announced;
   this->last_request_id = this->exchange->id();
   this->exchange.reset();
   this->has_served = true;
--- a/packages/relay/src/relay/caller_session.h
+++ b/packages/relay/src/relay/caller_session.h
@@ -118,6 +118,8 @@
   bool keep_alive = true;
   bool parsing = false;  ///< ParseInput is running.
   bool response_begun = false;
+  /// The response says that the connection closes after it.
+  bool close_announced = false;
   bool closed = false;
   bool finishing = false;            ///< Only pending writes are left.
   bool linger_after_writes = false;  ///< The caller can still be sending.
--- a/packages/relay/tests/relay/caller_session_test.cc
+++ b/packages/relay/tests/relay/caller_session_test.cc
@@ -319,6 +319,39 @@
   CHECK(harness.Until([&] { return harness.listener.sessions() == 0; }));
 }
 
+// Guards against lost requests: when a process began to stop, requests that it
+// had read behind another one on the same connection were dropped.
+TEST_CASE("A planned stop answers requests that were read before it",
+          "[relay][session][stop]") {
+  RelayHarness harness;
+  Route stream = MakeRoute("/s/", RetryPolicy::kNever);
+  stream.streaming = true;
+  harness.Configure({MakeRoute("/a/", RetryPolicy::kNever), stream});
+  auto& server = harness.AddServer("s1");
+  std::string first = "/a/1";
+  SECTION("behind a plain request") {}
+  SECTION("behind a stream whose response has begun") { first = "/s/1"; }
+  Peer& caller = harness.Call(RelayHarness::Request(first) +
+                              RelayHarness::Request("/a/2"));
+  REQUIRE(harness.Gets(server, 1));
+  if (first == "/s/1") {
+    server.last().channel->Write(
+        "HTTP/1.1 200 OK\r\nAttempt: a1\r\nSignature: s\r\n"
+        "Transfer-Encoding: chunked\r\n\r\nb\r\ndata: one\n\n\r\n");
+    REQUIRE(harness.Receives(caller, "one"));
+  }
+  harness.relay.draining = true;
+  harness.listener.CloseIdle();
+  server.last().channel->Write(first == "/s/1" ? "0\r\n\r\n"
+                                               : OkResponse("one"));
+  REQUIRE(harness.Gets(server, 2));
+  harness.listener.CloseIdle();
+  server.last().channel->Write(OkResponse("two"));
+  CHECK(harness.Receives(caller, "two"));
+  CHECK(CountOf(caller.received, "Connection: close") == 1);
+  CHECK(harness.Until([&] { return caller.ended; }));
+}
+
 // Guards against truncated responses: a planned stop closed a connection whose
 // caller had not yet received all of the last response.
 TEST_CASE("A planned stop keeps a connection until its response is written",
