--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -358,9 +358,6 @@
 }
 
 void Exchange::WaitOrGiveUp(std::string_view why) {
-  if (this->ContinueSilentTry(why)) {
-    return;
-  }
   const TimePoint now = this->relay.Now();
   const bool may_wait =
       this->last_forwarded_event_at && this->response_begun &&
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -203,9 +203,10 @@
   void HandleFailedMove(const Chain& next, const Result<MoveResult>& result);
   /// Sends the request to another server. Without another server or retry
   /// budget the current try continues, because its server is possibly just
-  /// slow. It also stays open beside the new try, as in the hedged requests of
-  /// Dean and Barroso ("The Tail at Scale", Communications of the ACM 56(2),
-  /// 2013): the new server can refuse the request or fall silent as well.
+  /// slow. Unless it is a stream that has not begun, it also stays open beside
+  /// the new try, as in the hedged requests of Dean and Barroso ("The Tail at
+  /// Scale", Communications of the ACM 56(2), 2013): the new server can refuse
+  /// the request or fall silent as well.
   void ReplaceSilentTry();
   /// Makes the silent try the current one again and cancels the try that was to
   /// replace it. False if there is no silent try.
--- a/packages/relay/src/relay/exchange_silence.cc
+++ b/packages/relay/src/relay/exchange_silence.cc
@@ -181,11 +181,15 @@
     const TimePoint now = this->relay.Now();
     this->server->RecordResponse(now, now - this->try_started_at, false);
   }
-  if (this->silent_try == nullptr) {
+  // A stream that has not begun can still be refused, and to wait at two
+  // engines would double the load of its prompt when engines are slow from
+  // load.
+  const bool keeps_try = this->response_begun || !this->route->streaming;
+  if (keeps_try && this->silent_try == nullptr) {
     this->progress_timer.Cancel();
     this->silent_try = std::make_unique<SilentTry>(*this);
   } else {
-    // The older try stays, which can have begun the response.
+    // An older silent try stays open.
     this->call->Cancel();
     this->ReleaseTry();
   }
