Log a fingerprint of each request that can be linked over attempts

Nothing linked two attempts of the same request, and requests of plain services appeared on no such line.

Change: 7001 and 7002 have `fingerprint`, a hash of workspace, method, target and body. 7012 lists the fingerprints of the requests that waited on the server, 32 at most. Fields are hashed one after the other with the previous hash as the seed, so that they cannot run into each other and the body is not copied.

No decision depends on the fingerprint yet.

--- a/packages/foundation/src/foundation/event.cc
+++ b/packages/foundation/src/foundation/event.cc
@@ -113,7 +113,9 @@
               "A configuration version is in force on this daemon."},
     EventInfo{EventId::kRelayRequestFinished, "relay_request_finished",
               Severity::kInfo,
-              "A relayed request got its final answer, or its caller left."},
+              "A relayed request got its final answer, or its caller left; "
+              "`fingerprint` is shared by attempts of one caller with the same "
+              "path and body."},
     EventInfo{EventId::kRelayAttemptFailed, "relay_attempt_failed",
               Severity::kWarning,
               "A try of a relayed request failed or fell silent; the fields "
@@ -151,7 +153,8 @@
         EventId::kCrashProbed, "crash_probed", Severity::kWarning,
         "A backend server broke off requests before their first event; "
         "`crashed` says whether it refuses new connections, `parts` are the "
-        "shared prompt parts of the first of these requests."},
+        "shared prompt parts of the first of these requests, `fingerprints` "
+        "identify all of them (32 at most)."},
     EventInfo{
         EventId::kPromptPartQuarantined, "prompt_part_quarantined",
         Severity::kError,
--- a/packages/relay/src/relay/crash_probe.cc
+++ b/packages/relay/src/relay/crash_probe.cc
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr std::size_t kMaxLoggedRequests = 32;
+
 std::uint64_t HashOf(const ServerRecord& engine) {
   return Hash64(engine.id + "@" + std::to_string(engine.incarnation));
 }
@@ -36,11 +38,12 @@
 
 void CrashProbe::ReportBroken(const ServerPtr& engine,
                               std::vector<std::string> parts,
-                              TimePoint sent_at) {
+                              std::string fingerprint, TimePoint sent_at) {
   const std::uint64_t key = HashOf(engine->record);
   auto& probe = this->probes[key];
   if (probe != nullptr) {
-    probe->requests.push_back({std::move(parts), sent_at});
+    probe->requests.push_back(
+        {std::move(parts), std::move(fingerprint), sent_at});
     return;
   }
   const auto endpoint = http::ParseEndpoint(engine->record.address);
@@ -51,7 +54,8 @@
   probe = std::make_shared<Probe>(this->io, this->timers);
   probe->engine = engine->record;
   probe->broken_at = this->timers.Now();
-  probe->requests.push_back({std::move(parts), sent_at});
+  probe->requests.push_back(
+      {std::move(parts), std::move(fingerprint), sent_at});
   probe->timeout.Start(probe->broken_at + kTimeout, [this, key] {
     this->Finish(key, asio::error::timed_out);
   });
@@ -90,12 +94,18 @@
   const std::shared_ptr<Probe> probe = std::move(found->second);
   this->probes.erase(found);
   const bool crashed = result == asio::error::connection_refused;
-  this->events.Record(EventId::kCrashProbed,
-                      {{"server", probe->engine.id},
-                       {"crashed", crashed ? "true" : "false"},
-                       {"detail", result ? result.message() : ""},
-                       {"waiting", std::to_string(probe->requests.size())},
-                       {"parts", FormatParts(probe->requests.front().parts)}});
+  std::vector<std::string> fingerprints;
+  for (const auto& request : probe->requests) {
+    fingerprints.push_back(request.fingerprint);
+  }
+  this->events.Record(
+      EventId::kCrashProbed,
+      {{"server", probe->engine.id},
+       {"crashed", crashed ? "true" : "false"},
+       {"detail", result ? result.message() : ""},
+       {"waiting", std::to_string(probe->requests.size())},
+       {"parts", FormatParts(probe->requests.front().parts)},
+       {"fingerprints", FormatParts(fingerprints, kMaxLoggedRequests)}});
   if (!crashed) {
     return;
   }
--- a/packages/relay/src/relay/crash_probe.h
+++ b/packages/relay/src/relay/crash_probe.h
@@ -31,10 +31,10 @@
              PromptQuarantine& quarantine);
   ~CrashProbe();
 
-  /// A request with `parts`, sent to `engine` at `sent_at`, was broken off
-  /// before its first event.
+  /// A request with `parts` and `fingerprint`, sent to `engine` at `sent_at`,
+  /// was broken off before its first event.
   void ReportBroken(const ServerPtr& engine, std::vector<std::string> parts,
-                    TimePoint sent_at);
+                    std::string fingerprint, TimePoint sent_at);
   /// Whether it is not known yet if an engine crashed under a request with one
   /// of `parts`.
   bool IsProbing(std::span<const std::string> parts) const;
@@ -42,6 +42,7 @@
  private:
   struct BrokenRequest {
     std::vector<std::string> parts;
+    std::string fingerprint;
     TimePoint sent_at;
   };
   struct Probe;
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "relay/log_text.h"
+#include "relay/request_fingerprint.h"
 #include "relay/silent_try.h"
 
 namespace qp::relay {
@@ -99,6 +100,7 @@
     this->SendLocalReply({401, "the key is not known", std::nullopt});
     return false;
   }
+  this->fingerprint = MakeRequestFingerprint(this->workspace, this->request);
   this->ChooseService();
   if (this->service == nullptr) {
     this->SendLocalReply({503, "the route has no service", milliseconds(500)});
@@ -422,6 +424,7 @@
       {"request", this->metadata.attempt_id},
       {"route", this->route == nullptr ? "" : this->route->name},
       {"workspace", this->workspace},
+      {"fingerprint", this->fingerprint},
       {"configuration",
        this->active_configuration == nullptr
            ? ""
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -254,6 +254,7 @@
   std::shared_ptr<const Route> route;
   const Service* service = nullptr;
   std::string workspace;
+  std::string fingerprint;  ///< See MakeRequestFingerprint.
   int priority = 0;
   TimePoint deadline{};
   ScopedTimer deadline_timer;
--- a/packages/relay/src/relay/exchange_quarantine.cc
+++ b/packages/relay/src/relay/exchange_quarantine.cc
@@ -108,7 +108,7 @@
 void Exchange::ProbeForCrash(const ServerPtr& broken, TimePoint sent_at) {
   if (this->IsPromptUnproven()) {
     this->relay.crash_probe.ReportBroken(broken, this->metadata.shared_parts,
-                                         sent_at);
+                                         this->fingerprint, sent_at);
   }
 }
 
--- a/packages/relay/src/relay/exchange_silence.cc
+++ b/packages/relay/src/relay/exchange_silence.cc
@@ -154,6 +154,7 @@
       {{"request", this->metadata.attempt_id},
        {"peer", this->server->record.id},
        {"chain", FormatChain(this->chain)},
+       {"fingerprint", this->fingerprint},
        {"step", step},
        {"silent_ms",
         FormatMillis(this->relay.Now() - this->last_progress_at)}});
--- a/packages/relay/src/relay/log_text.cc
+++ b/packages/relay/src/relay/log_text.cc
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr std::size_t kMaxLoggedParts = 8;
 constexpr std::size_t kMaxLoggedPartLength = 32;  ///< Characters.
 
 }  // namespace
@@ -24,9 +23,10 @@
   return text;
 }
 
-std::string FormatParts(std::span<const std::string> parts) {
+std::string FormatParts(std::span<const std::string> parts,
+                        std::size_t max_parts) {
   std::string text;
-  const std::size_t shown = std::min(parts.size(), kMaxLoggedParts);
+  const std::size_t shown = std::min(parts.size(), max_parts);
   for (const auto& part : parts.first(shown)) {
     text += (text.empty() ? "" : " ") + part.substr(0, kMaxLoggedPartLength);
   }
