Quarantine a request that crashes each server that runs it

Cause: evidence was kept by shared prompt parts only. Sound requests share all parts of such a request, and each response that begins clears them. Requests of plain services have no parts and left no evidence at all.

Change: the fingerprint of the request is one more key of the quarantine, before the shared parts, for engines and plain services. Parts are judged as before, without regard to fingerprints. A fingerprint is quarantined after two rounds of crashes that quarantined parts do not explain in full. Fingerprints with exactly the same crashes are not quarantined (no request has two); their requests are trials until a further crash or a response tells them apart. A request sent after the last crash is not taken back when its fingerprint is the only one left. Fingerprints have limits of their own; reports rank suspects by crashes and sample the rest, because a crash makes many requests suspect and peers have to hear of each. A crash probe holds up a request only for keys with which no response has begun lately, and its result resumes the request instead of a timer. A signed, framed response clears also with an error status.

Ruled out: ranking fingerprints together with parts. Requests that a common part has crashed twice would explain its crashes, and the part would not be found; a test covers this. Also a limit by caller or path, which sound requests share.

Evidence: with the list of keys reduced to the shared parts, "A request that crashes two servers reaches no third one" (both kinds of services), "A request that must not run twice is rejected after two crashes" and "A signed error shows that a request does not crash servers" fail, and the other tests of the quarantine pass. With fingerprints refused as ids, eight tests of request_quarantine_test.cc and the property fail too. With the former condition of the probe, "A crash probe holds up only requests that may have caused the crash" fails.

--- a/packages/foundation/src/foundation/event.cc
+++ b/packages/foundation/src/foundation/event.cc
@@ -155,16 +155,16 @@
         "`crashed` says whether it refuses new connections, `parts` are the "
         "shared prompt parts of the first of these requests, `fingerprints` "
         "identify all of them (32 at most)."},
-    EventInfo{
-        EventId::kPromptPartQuarantined, "prompt_part_quarantined",
-        Severity::kError,
-        "Requests with this prompt part crash backend servers and are rejected "
-        "until it is tried again; `source` says who found it."},
+    EventInfo{EventId::kPromptPartQuarantined, "prompt_part_quarantined",
+              Severity::kError,
+              "Requests with this prompt part, or with this fingerprint "
+              "(`request-...`), crash backend servers and are rejected until "
+              "it is tried again; `source` says who found it."},
     EventInfo{
         EventId::kPromptPartReleased, "prompt_part_released", Severity::kInfo,
-        "A prompt part is no longer quarantined, because a response to a "
-        "request with it has begun, another part explains its crashes, or "
-        "it was not seen for long."},
+        "A prompt part or a fingerprint is no longer quarantined, because a "
+        "response to a request with it has begun, another part explains its "
+        "crashes, or it was not seen for long."},
     EventInfo{
         EventId::kQuarantineNotStored, "quarantine_not_stored",
         Severity::kWarning,
--- a/packages/relay/src/relay/crash_probe.cc
+++ b/packages/relay/src/relay/crash_probe.cc
@@ -1,11 +1,13 @@
 #include "relay/crash_probe.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "foundation/hash.h"
 #include "http/endpoint.h"
 #include "relay/log_text.h"
+#include "relay/request_fingerprint.h"
 
 namespace qp::relay {
 
@@ -37,13 +39,12 @@
 CrashProbe::~CrashProbe() = default;
 
 void CrashProbe::ReportBroken(const ServerPtr& engine,
-                              std::vector<std::string> parts,
-                              std::string fingerprint, TimePoint sent_at) {
+                              std::vector<std::string> keys,
+                              TimePoint sent_at) {
   const std::uint64_t key = HashOf(engine->record);
   auto& probe = this->probes[key];
   if (probe != nullptr) {
-    probe->requests.push_back(
-        {std::move(parts), std::move(fingerprint), sent_at});
+    probe->requests.push_back({std::move(keys), sent_at});
     return;
   }
   const auto endpoint = http::ParseEndpoint(engine->record.address);
@@ -54,8 +55,7 @@
   probe = std::make_shared<Probe>(this->io, this->timers);
   probe->engine = engine->record;
   probe->broken_at = this->timers.Now();
-  probe->requests.push_back(
-      {std::move(parts), std::move(fingerprint), sent_at});
+  probe->requests.push_back({std::move(keys), sent_at});
   probe->timeout.Start(probe->broken_at + kTimeout, [this, key] {
     this->Finish(key, asio::error::timed_out);
   });
@@ -71,17 +71,16 @@
       });
 }
 
-bool CrashProbe::IsProbing(std::span<const std::string> parts) const {
-  const auto shares_part = [parts](const BrokenRequest& request) {
-    return std::find_first_of(request.parts.begin(), request.parts.end(),
-                              parts.begin(),
-                              parts.end()) != request.parts.end();
+bool CrashProbe::IsProbing(std::span<const std::string> keys) const {
+  const auto shares_key = [keys](const BrokenRequest& request) {
+    return std::find_first_of(request.keys.begin(), request.keys.end(),
+                              keys.begin(), keys.end()) != request.keys.end();
   };
   return std::any_of(this->probes.begin(), this->probes.end(),
-                     [&shares_part](const auto& item) {
+                     [&shares_key](const auto& item) {
                        const auto& requests = item.second->requests;
                        return std::any_of(requests.begin(), requests.end(),
-                                          shares_part);
+                                          shares_key);
                      });
 }
 
@@ -96,24 +95,33 @@
   const bool crashed = result == asio::error::connection_refused;
   std::vector<std::string> fingerprints;
   for (const auto& request : probe->requests) {
-    fingerprints.push_back(request.fingerprint);
+    std::copy_if(request.keys.begin(), request.keys.end(),
+                 std::back_inserter(fingerprints), IsRequestFingerprint);
   }
+  std::vector<std::string> parts = probe->requests.front().keys;
+  std::erase_if(parts, IsRequestFingerprint);
   this->events.Record(
       EventId::kCrashProbed,
       {{"server", probe->engine.id},
        {"crashed", crashed ? "true" : "false"},
        {"detail", result ? result.message() : ""},
        {"waiting", std::to_string(probe->requests.size())},
-       {"parts", FormatParts(probe->requests.front().parts)},
+       {"parts", FormatParts(parts)},
        {"fingerprints", FormatParts(fingerprints, kMaxLoggedRequests)}});
-  if (!crashed) {
-    return;
+  if (crashed) {
+    for (const auto& request : probe->requests) {
+      this->quarantine.RecordCrash(engine, request.keys, request.sent_at,
+                                   probe->broken_at);
+    }
+    this->quarantine.CommitCrashes();
   }
-  for (const auto& request : probe->requests) {
-    this->quarantine.RecordCrash(engine, request.parts, request.sent_at,
-                                 probe->broken_at);
+  for (const auto& callback : std::exchange(this->callbacks, {})) {
+    callback();
   }
-  this->quarantine.CommitCrashes();
+}
+
+void CrashProbe::CallAtNextResult(std::function<void()> callback) {
+  this->callbacks.push_back(std::move(callback));
 }
 
 }  // namespace qp::relay
--- a/packages/relay/src/relay/crash_probe.h
+++ b/packages/relay/src/relay/crash_probe.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <span>
@@ -31,18 +32,20 @@
              PromptQuarantine& quarantine);
   ~CrashProbe();
 
-  /// A request with `parts` and `fingerprint`, sent to `engine` at `sent_at`,
+  /// A request with `keys`, its fingerprint and its shared prompt parts, was
+  /// sent to `engine` at `sent_at` and
   /// was broken off before its first event.
-  void ReportBroken(const ServerPtr& engine, std::vector<std::string> parts,
-                    std::string fingerprint, TimePoint sent_at);
+  void ReportBroken(const ServerPtr& engine, std::vector<std::string> keys,
+                    TimePoint sent_at);
   /// Whether it is not known yet if an engine crashed under a request with one
-  /// of `parts`.
-  bool IsProbing(std::span<const std::string> parts) const;
+  /// of `keys`.
+  bool IsProbing(std::span<const std::string> keys) const;
+  /// Calls `callback` once, when the next probe has ended.
+  void CallAtNextResult(std::function<void()> callback);
 
  private:
   struct BrokenRequest {
-    std::vector<std::string> parts;
-    std::string fingerprint;
+    std::vector<std::string> keys;
     TimePoint sent_at;
   };
   struct Probe;
@@ -55,6 +58,7 @@
   PromptQuarantine& quarantine;
   /// Probes in progress, by hash of the engine's id and incarnation.
   std::map<std::uint64_t, std::shared_ptr<Probe>> probes;
+  std::vector<std::function<void()>> callbacks;
 };
 
 }  // namespace qp::relay
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -101,6 +101,10 @@
     return false;
   }
   this->fingerprint = MakeRequestFingerprint(this->workspace, this->request);
+  this->crash_keys = {this->fingerprint};
+  this->crash_keys.insert(this->crash_keys.end(),
+                          this->metadata.shared_parts.begin(),
+                          this->metadata.shared_parts.end());
   this->ChooseService();
   if (this->service == nullptr) {
     this->SendLocalReply({503, "the route has no service", milliseconds(500)});
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -100,10 +100,10 @@
   /// Sends the request to the next server if the limits on tries and the
   /// quarantine of prompt parts allow it.
   void TryServers();
-  /// Whether the prompt has shared parts and no response to this request has
-  /// begun, so that the parts can be what crashes engines.
+  /// Whether no response to this request has begun, so that the request or a
+  /// part of its prompt can be what crashes servers.
   bool IsPromptUnproven() const {
-    return !this->prompt_started && !this->metadata.shared_parts.empty();
+    return !this->prompt_started && !this->crash_keys.empty();
   }
   /// Whether the request can be sent now. Otherwise rejects it, or tries again
   /// after a while because a trial of one of its parts is running.
@@ -114,12 +114,12 @@
   void RejectPrompt(const Admission& admission);
   /// Registers the request as pending with the quarantine.
   void TrackPrompt();
-  /// Reports that `broken` broke off the response before it had begun, which a
-  /// part of the prompt can have caused.
+  /// Reports that `broken` broke off the response before it had begun, which
+  /// the request or a part of its prompt can have caused.
   void ProbeForCrash(const ServerPtr& broken, TimePoint sent_at);
-  /// Ends the request because a part of its prompt was quarantined.
+  /// Ends the request because it or a part of its prompt was quarantined.
   void HandlePromptQuarantined();
-  /// A response has begun, which shows that the prompt crashes no engine.
+  /// A response has begun, which shows that the request crashes no server.
   void RecordPromptStart();
   ChoiceQuery MakeQuery() const;
   /// Chooses a server, or a chain if the service has engines. The server is
@@ -255,6 +255,9 @@
   const Service* service = nullptr;
   std::string workspace;
   std::string fingerprint;  ///< See MakeRequestFingerprint.
+  /// The fingerprint and the shared parts: the keys of the quarantine. Empty
+  /// until the request is admitted.
+  std::vector<std::string> crash_keys;
   int priority = 0;
   TimePoint deadline{};
   ScopedTimer deadline_timer;
@@ -281,6 +284,8 @@
   std::string last_failure;
   /// Since when the request waits for trials of its prompt parts.
   std::optional<TimePoint> waiting_since;
+  /// Waits for the result of a crash probe.
+  bool waits_for_probe = false;
   bool is_trial = false;  ///< Of one of its prompt parts.
   /// Set while a server has the request and its response has not begun.
   std::unique_ptr<PromptQuarantine::PendingRequest> pending_prompt;
--- a/packages/relay/src/relay/exchange_quarantine.cc
+++ b/packages/relay/src/relay/exchange_quarantine.cc
@@ -1,10 +1,11 @@
-// Keeping requests whose prompts crash engines away from engines.
+// Keeping requests that crash backend servers away from them.
 #include <algorithm>
 #include <chrono>
 #include <random>
 #include <utility>
 
 #include "relay/exchange.h"
+#include "relay/request_fingerprint.h"
 
 namespace qp::relay {
 
@@ -13,7 +14,7 @@
 using std::chrono::milliseconds;
 
 /// Interval between checks whether a request may be sent that waits for the
-/// trial of one of its prompt parts.
+/// trial of one of its keys.
 constexpr Duration kAdmissionInterval = milliseconds(10);
 /// Longest wait for trials of other requests, after which the request is a
 /// trial itself.
@@ -27,17 +28,19 @@
 
 bool Exchange::AdmitPrompt() {
   this->is_trial = false;
+  this->waits_for_probe = false;
   if (!this->IsPromptUnproven()) {
     return true;
   }
   const TimePoint now = this->relay.Now();
-  Admission admission =
-      this->relay.quarantine.Admit(this->metadata.shared_parts, now);
-  if (admission.may_send() &&
-      !this->relay.quarantine.HasStartedLately(this->metadata.shared_parts,
-                                               now) &&
-      this->relay.crash_probe.IsProbing(this->metadata.shared_parts)) {
-    // A request with one of the parts may just have crashed its engine.
+  Admission admission = this->relay.quarantine.Admit(this->crash_keys, now);
+  // A request with one of the keys may just have crashed its server.
+  this->waits_for_probe =
+      admission.may_send() &&
+      this->relay.crash_probe.IsProbing(this->crash_keys) &&
+      this->relay.crash_probe.IsProbing(
+          this->relay.quarantine.FindUntrusted(this->crash_keys, now));
+  if (this->waits_for_probe) {
     admission.decision = AdmissionDecision::kWait;
   }
   switch (admission.decision) {
@@ -51,10 +54,23 @@
         this->waiting_since = now;
       }
       if (now - *this->waiting_since >= kMaxAdmissionWait) {
+        this->waits_for_probe = false;
         return true;
       }
-      this->progress_timer.Start(now + kAdmissionInterval,
-                                 [this] { this->TryServers(); });
+      this->progress_timer.Start(
+          now + (this->waits_for_probe ? CrashProbe::kTimeout
+                                       : kAdmissionInterval),
+          [this] { this->TryServers(); });
+      if (this->waits_for_probe) {
+        this->relay.crash_probe.CallAtNextResult(
+            [this, owner = std::weak_ptr<int>(this->alive)] {
+              if (!owner.expired() &&
+                  std::exchange(this->waits_for_probe, false)) {
+                this->progress_timer.Cancel();
+                this->TryServers();
+              }
+            });
+      }
       return false;
     case AdmissionDecision::kReject:
       this->RejectPrompt(admission);
@@ -81,7 +97,9 @@
 
 void Exchange::RejectPrompt(const Admission& admission) {
   const std::string why =
-      "requests with prompt part " + admission.part + " crash engines";
+      IsRequestFingerprint(admission.part)
+          ? "the request crashes servers, fingerprint " + admission.part
+          : "requests with prompt part " + admission.part + " crash engines";
   if (this->response_begun || this->may_have_run) {
     this->GiveUp(why);
     return;
@@ -94,7 +112,7 @@
     return;
   }
   this->pending_prompt = this->relay.quarantine.AddPending(
-      this->metadata.shared_parts, this->relay.Now(),
+      this->crash_keys, this->relay.Now(),
       [this, owner = std::weak_ptr<int>(this->alive),
        number = this->try_number] {
         asio::post(this->relay.io, [this, owner, number] {
@@ -107,13 +125,12 @@
 
 void Exchange::ProbeForCrash(const ServerPtr& broken, TimePoint sent_at) {
   if (this->IsPromptUnproven()) {
-    this->relay.crash_probe.ReportBroken(broken, this->metadata.shared_parts,
-                                         this->fingerprint, sent_at);
+    this->relay.crash_probe.ReportBroken(broken, this->crash_keys, sent_at);
   }
 }
 
 void Exchange::HandlePromptQuarantined() {
-  // The engine drops the request when its connection closes, before it begins
+  // The server drops the request when its connection closes, before it begins
   // to write the response that would crash it.
   if (this->call != nullptr) {
     this->call->Cancel();
@@ -121,7 +138,7 @@
   this->ReleaseTry();
   this->DropSilentTry();
   this->may_have_run = true;
-  this->GiveUp("a part of the prompt crashes engines");
+  this->GiveUp("the request or a part of its prompt crashes servers");
 }
 
 void Exchange::RecordPromptStart() {
@@ -130,8 +147,7 @@
   }
   this->prompt_started = true;
   this->pending_prompt.reset();
-  this->relay.quarantine.RecordStart(this->metadata.shared_parts,
-                                     this->relay.Now());
+  this->relay.quarantine.RecordStart(this->crash_keys, this->relay.Now());
 }
 
 }  // namespace qp::relay
--- a/packages/relay/src/relay/exchange_responses.cc
+++ b/packages/relay/src/relay/exchange_responses.cc
@@ -18,8 +18,8 @@
 /// server.
 constexpr unsigned kWrongServerStatus = 421;
 constexpr unsigned kFirstServerError = 500;
-/// Events after which the prompt has not crashed the engine. An engine can have
-/// sent the first one when it crashes.
+/// Events after which the request has not crashed the engine. An engine can
+/// have sent the first one when it crashes.
 constexpr int kEventsOfSoundPrompt = 2;
 
 }  // namespace
@@ -255,7 +255,8 @@
     return;
   }
   this->DropSilentTry();
-  if (IsSuccess(this->head->status) && !IsUnframed(*this->head)) {
+  // A server that signs an error has not crashed either.
+  if (this->head->metadata.is_signed && !IsUnframed(*this->head)) {
     this->RecordPromptStart();
   }
   this->EndTry(this->head->status < kFirstServerError);
--- a/packages/relay/src/relay/exchange_silence.cc
+++ b/packages/relay/src/relay/exchange_silence.cc
@@ -61,6 +61,7 @@
   this->AbandonTry();
   const auto continued = std::move(this->silent_try);
   continued->Restore();
+  this->waits_for_probe = false;
   this->moved_at = this->relay.Now();
   this->StartProgressTimer(this->relay.Now() + kMaxEventGap);
   return true;
@@ -167,8 +168,7 @@
   }
   const bool admitted =
       !this->IsPromptUnproven() ||
-      this->relay.quarantine
-          .Admit(this->metadata.shared_parts, this->relay.Now())
+      this->relay.quarantine.Admit(this->crash_keys, this->relay.Now())
           .may_send();
   Target target = this->ChooseTarget(avoided);
   if (!admitted || target.server == nullptr ||
--- a/packages/relay/src/relay/prompt_quarantine.cc
+++ b/packages/relay/src/relay/prompt_quarantine.cc
@@ -5,9 +5,12 @@
 #include <chrono>
 #include <cstdio>
 #include <iterator>
+#include <random>
+#include <tuple>
 #include <utility>
 
 #include "foundation/hash.h"
+#include "relay/request_fingerprint.h"
 
 namespace qp::relay {
 
@@ -46,9 +49,12 @@
 constexpr std::size_t kMaxIdLength = 32;
 constexpr std::size_t kHashedIdLength = 17;
 
-/// Whether MakePartId can have made this id. Reports and stored items can come
-/// from others.
+/// Whether the id is a fingerprint or MakePartId can have made it. Reports and
+/// stored items can come from others.
 bool IsValidId(std::string_view part) {
+  if (IsRequestFingerprint(part)) {
+    return true;
+  }
   return !part.empty() && part.size() <= kMaxIdLength &&
          MakePartId(part) == part;
 }
@@ -121,21 +127,26 @@
   return crashes;
 }
 
-bool PromptQuarantine::FindNextGroup(const std::set<std::uint64_t>& explained) {
-  Group best;
+std::optional<PromptQuarantine::Group> PromptQuarantine::FindNextGroup(
+    bool fingerprints, const std::set<std::uint64_t>& explained,
+    const std::set<std::uint64_t>& by_parts) const {
+  std::optional<Group> best;
   std::pair<bool, std::size_t> best_rank;
-  std::set<std::uint64_t> best_engines;
   for (const auto& [part, record] : this->records) {
+    // One crash that only this part explains keeps it quarantined.
+    std::size_t required_rounds = record.quarantined ? 1 : kRoundsForQuarantine;
+    if (record.crashes.size() < required_rounds ||
+        IsRequestFingerprint(part) != fingerprints ||
+        (fingerprints && Unexplained(record, by_parts).empty())) {
+      continue;
+    }
     const auto crashes = Unexplained(record, explained);
     if (crashes.empty()) {
       continue;
     }
     const bool trusted = IsTrusted(record);
-    std::size_t required_rounds =
-        trusted ? kRoundsForTrustedPart : kRoundsForQuarantine;
-    if (record.quarantined) {
-      // One crash that only this part explains keeps it quarantined.
-      required_rounds = 1;
+    if (trusted && !record.quarantined) {
+      required_rounds = kRoundsForTrustedPart;
     }
     if (CountRounds(crashes) < required_rounds) {
       continue;
@@ -145,20 +156,17 @@
     for (const auto& crash : crashes) {
       engines.insert(crash.engine);
     }
-    if (best.parts.empty() || rank > best_rank) {
-      best = Group{{part}, crashes.back().crashed_at, crashes.size(), {}};
+    if (!best || rank > best_rank) {
+      best = Group{{part},
+                   crashes.back().crashed_at,
+                   crashes.size(),
+                   std::move(engines)};
       best_rank = rank;
-      best_engines = std::move(engines);
-    } else if (rank == best_rank && engines == best_engines) {
-      best.parts.push_back(part);
+    } else if (rank == best_rank && engines == best->engines) {
+      best->parts.push_back(part);
     }
   }
-  if (best.parts.empty()) {
-    return false;
-  }
-  best.engines = std::move(best_engines);
-  this->groups.push_back(std::move(best));
-  return true;
+  return best;
 }
 
 bool PromptQuarantine::IsTrialRunning(std::string_view part,
@@ -249,29 +257,40 @@
   return request;
 }
 
-void PromptQuarantine::TouchStart(const std::string& part, TimePoint now) {
-  const auto found = this->start_index.find(part);
-  if (found != this->start_index.end()) {
+void PromptQuarantine::RecentStarts::Touch(const std::string& part,
+                                           TimePoint now) {
+  const auto found = this->index.find(part);
+  if (found != this->index.end()) {
     found->second->second = now;
-    this->start_order.splice(this->start_order.begin(), this->start_order,
-                             found->second);
+    this->order.splice(this->order.begin(), this->order, found->second);
     return;
   }
-  this->start_order.emplace_front(part, now);
-  this->start_index.emplace(part, this->start_order.begin());
-  if (this->start_order.size() > kMaxRecentStarts) {
-    this->start_index.erase(this->start_order.back().first);
-    this->start_order.pop_back();
+  this->order.emplace_front(part, now);
+  this->index.emplace(part, this->order.begin());
+  if (this->order.size() > kMaxRecentStarts) {
+    this->index.erase(this->order.back().first);
+    this->order.pop_back();
   }
 }
 
+std::optional<TimePoint> PromptQuarantine::FindStart(
+    std::string_view part) const {
+  const RecentStarts& starts =
+      IsRequestFingerprint(part) ? this->request_starts : this->part_starts;
+  const auto found = starts.index.find(std::string(part));
+  return found == starts.index.end() ? std::nullopt
+                                     : std::optional(found->second->second);
+}
+
 void PromptQuarantine::RecordStart(std::span<const std::string> parts,
                                    TimePoint now) {
   bool cleared = false;
   std::size_t touched = 0;
   for (const auto& part : parts) {
     if (IsValidId(part) && touched++ < kMaxPartsPerRequest) {
-      this->TouchStart(part, now);
+      RecentStarts& starts =
+          IsRequestFingerprint(part) ? this->request_starts : this->part_starts;
+      starts.Touch(part, now);
     }
     const auto found = this->records.find(part);
     if (found != this->records.end() && !found->second.crashes.empty()) {
@@ -298,10 +317,7 @@
   auto found = this->records.find(part);
   if (found == this->records.end()) {
     found = this->records.emplace(part, Record{}).first;
-    const auto started = this->start_index.find(found->first);
-    if (started != this->start_index.end()) {
-      found->second.started_at = started->second->second;
-    }
+    found->second.started_at = this->FindStart(part);
   }
   Record& record = found->second;
   if (record.started_at && crash.sent_at <= *record.started_at) {
@@ -337,9 +353,8 @@
                                    TimePoint sent_at, TimePoint crashed_at) {
   std::size_t added = 0;
   for (const auto& part : parts) {
-    const auto started = this->start_index.find(part);
-    const bool sound = started != this->start_index.end() &&
-                       started->second->second >= sent_at;
+    const auto started = this->FindStart(part);
+    const bool sound = started && *started >= sent_at;
     if (!sound && IsValidId(part) && added < kMaxPartsPerRequest) {
       this->changed =
           this->AddCrash(part, {engine, crashed_at, sent_at}) || this->changed;
@@ -365,10 +380,18 @@
   this->groups.clear();
   std::set<std::uint64_t> explained;
   std::set<std::string, std::less<>> quarantined;
-  while (this->FindNextGroup(explained)) {
-    const Group& group = this->groups.back();
-    explained.insert(group.engines.begin(), group.engines.end());
-    quarantined.insert(group.parts.begin(), group.parts.end());
+  while (auto group = this->FindNextGroup(false, explained, {})) {
+    explained.insert(group->engines.begin(), group->engines.end());
+    quarantined.insert(group->parts.begin(), group->parts.end());
+    this->groups.push_back(*std::move(group));
+  }
+  const auto by_parts = std::exchange(explained, {});
+  while (auto group = this->FindNextGroup(true, explained, by_parts)) {
+    explained.insert(group->engines.begin(), group->engines.end());
+    if (group->parts.size() == 1) {
+      quarantined.insert(group->parts.front());
+      this->groups.push_back(*std::move(group));
+    }
   }
   for (auto& [part, record] : this->records) {
     const bool is_quarantined = quarantined.contains(part);
@@ -383,26 +406,46 @@
     }
   }
   for (PendingRequest* request : this->pending) {
-    if (!request->is_retrial && request->on_reject &&
-        this->FindGroup(request->parts) != nullptr) {
+    const Group* group =
+        request->is_retrial ? nullptr : this->FindGroup(request->parts);
+    if (group == nullptr || !request->on_reject) {
+      continue;
+    }
+    // A request sent after the last crash shows whether its fingerprint is the
+    // cause or is only left after responses have cleared the others.
+    if (!IsRequestFingerprint(group->parts.front()) ||
+        request->sent_at < group->last_crash_at) {
       request->on_reject();
     }
   }
 }
 
 void PromptQuarantine::LimitRecords() {
-  while (this->records.size() > kMaxRecords) {
-    const auto is_less_important = [](const auto& one, const auto& other) {
-      const auto rank = [](const Record& record) {
-        return std::pair(CountRounds(record.crashes),
-                         record.crashes.empty()
-                             ? TimePoint{}
-                             : record.crashes.back().crashed_at);
-      };
-      return rank(one.second) < rank(other.second);
-    };
-    const auto dropped = std::min_element(
-        this->records.begin(), this->records.end(), is_less_important);
+  this->LimitRecords(false, kMaxRecords);
+  this->LimitRecords(true, kMaxRequestRecords);
+}
+
+void PromptQuarantine::LimitRecords(bool fingerprints, std::size_t limit) {
+  using Rank = std::pair<std::size_t, TimePoint>;
+  std::vector<std::pair<Rank, Records::iterator>> ranked;
+  for (auto item = this->records.begin(); item != this->records.end(); ++item) {
+    if (IsRequestFingerprint(item->first) == fingerprints) {
+      const auto& crashes = item->second.crashes;
+      const TimePoint last =
+          crashes.empty() ? TimePoint{} : crashes.back().crashed_at;
+      ranked.emplace_back(Rank(CountRounds(crashes), last), item);
+    }
+  }
+  if (ranked.size() <= limit) {
+    return;
+  }
+  const auto kept = ranked.end() - static_cast<std::ptrdiff_t>(limit);
+  std::nth_element(ranked.begin(), kept, ranked.end(),
+                   [](const auto& one, const auto& other) {
+                     return one.first < other.first;
+                   });
+  for (auto item = ranked.begin(); item != kept; ++item) {
+    const auto dropped = item->second;
     if (dropped->second.quarantined && this->listener != nullptr) {
       this->listener->OnReleased(dropped->first, true);
     }
@@ -491,27 +534,41 @@
 }
 
 std::vector<PartReport> PromptQuarantine::MakeReports(TimePoint now) const {
-  std::vector<Records::const_iterator> chosen;
+  struct Choice {
+    bool quarantined = false;
+    std::size_t rounds = 0;
+    TimePoint changed_at{};
+    Records::const_iterator item;
+  };
+  std::vector<Choice> choices;
+  choices.reserve(this->records.size());
   for (auto item = this->records.begin(); item != this->records.end(); ++item) {
-    chosen.push_back(item);
-  }
-  const auto latest_change = [](const Record& record) {
+    const Record& record = item->second;
     const TimePoint crashed =
         record.crashes.empty() ? TimePoint{} : record.crashes.back().crashed_at;
-    return std::max(crashed, record.started_at.value_or(TimePoint{}));
-  };
-  std::sort(chosen.begin(), chosen.end(),
-            [&latest_change](const auto& one, const auto& other) {
-              return std::pair(one->second.quarantined,
-                               latest_change(one->second)) >
-                     std::pair(other->second.quarantined,
-                               latest_change(other->second));
-            });
-  chosen.resize(std::min(chosen.size(), kMaxReportedParts));
+    choices.push_back({record.quarantined, CountRounds(record.crashes),
+                       std::max(crashed, record.started_at.value_or(crashed)),
+                       item});
+  }
+  if (choices.size() > kMaxReportedParts) {
+    const auto sample =
+        choices.begin() + static_cast<std::ptrdiff_t>(kMaxRankedParts);
+    std::partial_sort(
+        choices.begin(), sample, choices.end(),
+        [](const Choice& one, const Choice& other) {
+          return std::tie(one.quarantined, one.rounds, one.changed_at) >
+                 std::tie(other.quarantined, other.rounds, other.changed_at);
+        });
+    // Seeded with the time, so that each report has another sample.
+    std::shuffle(sample, choices.end(),
+                 std::mt19937(static_cast<std::mt19937::result_type>(
+                     now.time_since_epoch() / milliseconds(1))));
+    choices.resize(kMaxReportedParts);
+  }
   std::vector<PartReport> reports;
-  reports.reserve(chosen.size());
-  for (const auto& item : chosen) {
-    reports.push_back(MakeReport(item->first, item->second, now));
+  reports.reserve(choices.size());
+  for (const auto& choice : choices) {
+    reports.push_back(MakeReport(choice.item->first, choice.item->second, now));
   }
   return reports;
 }
@@ -538,13 +595,15 @@
   }
 }
 
-bool PromptQuarantine::HasStartedLately(std::span<const std::string> parts,
-                                        TimePoint now) const {
-  return std::all_of(parts.begin(), parts.end(), [&](const auto& part) {
-    const auto started = this->start_index.find(part);
-    return started != this->start_index.end() &&
-           now - started->second->second <= kTrustTime;
-  });
+std::vector<std::string> PromptQuarantine::FindUntrusted(
+    std::span<const std::string> parts, TimePoint now) const {
+  std::vector<std::string> untrusted;
+  std::copy_if(parts.begin(), parts.end(), std::back_inserter(untrusted),
+               [&](const auto& part) {
+                 const auto started = this->FindStart(part);
+                 return !started || now - *started > kTrustTime;
+               });
+  return untrusted;
 }
 
 bool PromptQuarantine::IsQuarantined(std::string_view part) const {
--- a/packages/relay/src/relay/prompt_quarantine.h
+++ b/packages/relay/src/relay/prompt_quarantine.h
@@ -107,14 +107,27 @@
 ///
 /// A quarantined part is tried again after a time that grows with its crashes,
 /// since the crashes can have had another cause.
+///
+/// A request itself can crash servers, although its parts are sound. Its
+/// fingerprint (see MakeRequestFingerprint) is therefore used like a part that
+/// only repeats of the request have. Parts are judged without regard to
+/// fingerprints, and fingerprints only if the quarantined parts do not explain
+/// all of their crashes. Fingerprints that cannot be told apart are not
+/// quarantined, because no request has several: their requests are trials until
+/// a further crash or a response tells them apart.
 class PromptQuarantine {
  public:
-  /// Limits on the state, since callers choose the ids of parts.
+  /// Limits on the state, since callers choose the ids of parts. Fingerprints
+  /// have limits of their own, so that neither kind displaces the other.
   static constexpr std::size_t kMaxRecords = 256;
+  static constexpr std::size_t kMaxRequestRecords = 1024;
   static constexpr std::size_t kMaxRecentStarts = 4096;
   static constexpr std::size_t kMaxPartsPerRequest = 64;
   static constexpr std::size_t kMaxCrashesPerPart = 8;
-  static constexpr std::size_t kMaxReportedParts = 32;
+  static constexpr std::size_t kMaxReportedParts = 64;
+  /// Reported parts that are chosen by the number of their crashes. The others
+  /// are drawn at random, so that each is reported after a while.
+  static constexpr std::size_t kMaxRankedParts = 32;
 
   /// Time after which a trial without an outcome no longer holds up others.
   static constexpr Duration kTrialTimeout = std::chrono::milliseconds(1000);
@@ -175,19 +188,22 @@
   /// Applies what the store says of a quarantined part. No effect on a part
   /// that is quarantined already.
   void Restore(const PartReport& report, TimePoint now);
-  /// State for the peers, at most kMaxReportedParts, quarantined parts first.
+  /// State for the peers, at most kMaxReportedParts: quarantined parts,
+  /// then those with most crashes, then a sample of the others.
   std::vector<PartReport> MakeReports(TimePoint now) const;
   /// State of one part, for the store. Without crashes if it is not suspect.
   PartReport MakeReport(std::string_view part, TimePoint now) const;
   /// Drops what is too old to matter.
   void Expire(TimePoint now);
 
-  /// Whether responses to requests with each of `parts` have begun here lately.
-  bool HasStartedLately(std::span<const std::string> parts,
-                        TimePoint now) const;
+  /// The parts of `parts` with which no response has begun here lately.
+  std::vector<std::string> FindUntrusted(std::span<const std::string> parts,
+                                         TimePoint now) const;
   bool IsQuarantined(std::string_view part) const;
   std::size_t records_size() const { return this->records.size(); }
-  std::size_t recent_starts_size() const { return this->start_order.size(); }
+  std::size_t recent_starts_size() const {
+    return this->part_starts.order.size() + this->request_starts.order.size();
+  }
 
  private:
   struct Record {
@@ -202,6 +218,14 @@
     bool quarantined = false;  ///< As last told to the listener.
   };
   using Records = std::map<std::string, Record, std::less<>>;
+  /// The last kMaxRecentStarts parts with which responses have begun.
+  struct RecentStarts {
+    void Touch(const std::string& part, TimePoint now);
+
+    /// The latest first, with the time.
+    std::list<std::pair<std::string, TimePoint>> order;
+    std::unordered_map<std::string, decltype(order)::iterator> index;
+  };
   /// Quarantined parts with the same crashes, which cannot be told apart.
   struct Group {
     std::vector<std::string> parts;
@@ -223,9 +247,12 @@
   /// part are not until its second crash: others of its requests, which are
   /// under way anyway, show whether it is sound.
   static bool NeedsTrial(const Record& record);
-  /// Adds the group that explains most of the crashes that are not in
-  /// `explained`. False if no part has enough of them.
-  bool FindNextGroup(const std::set<std::uint64_t>& explained);
+  /// Finds the parts, or the fingerprints, that explain most of the crashes
+  /// that are not in `explained`. Fingerprints whose crashes are all in
+  /// `by_parts` are left out. Empty if none has enough crashes.
+  std::optional<Group> FindNextGroup(
+      bool fingerprints, const std::set<std::uint64_t>& explained,
+      const std::set<std::uint64_t>& by_parts) const;
   /// The first group of which `parts` contains every part; null if there is
   /// none.
   const Group* FindGroup(std::span<const std::string> parts) const;
@@ -241,7 +268,10 @@
   /// requests.
   void UpdateQuarantined(bool own);
   void LimitRecords();
-  void TouchStart(const std::string& part, TimePoint now);
+  /// Drops the least important records of a kind above `limit`.
+  void LimitRecords(bool fingerprints, std::size_t limit);
+  /// When a response with the part last began here.
+  std::optional<TimePoint> FindStart(std::string_view part) const;
   static PartReport MakeReport(const std::string& part, const Record& record,
                                TimePoint now);
 
@@ -249,9 +279,8 @@
   Records records;
   std::vector<Group> groups;
   std::set<PendingRequest*> pending;
-  /// Parts of responses that have begun, the latest first, with the time.
-  std::list<std::pair<std::string, TimePoint>> start_order;
-  std::unordered_map<std::string, decltype(start_order)::iterator> start_index;
+  RecentStarts part_starts;
+  RecentStarts request_starts;
   bool changed = false;  ///< Crashes were recorded since CommitCrashes.
 };
 
