Blame a request before the prompt parts that it shares

Cause: parts were judged before fingerprints, so a part with the same two crashes as one request was quarantined in its place. And a request that by chance waited on two crashed servers can't be told from a deadly one before it is tried once more, which happened after 30 s only.

Change: a part is not blamed while a single request waited on all of its crashes; a second request with the part that crashes a server shows that the part is the cause. A request with two crashes is tried again after 2 s; a third crash keeps it away for 2 min, as before.

Two tests expected that the two crashes of one request blame its part.

--- a/packages/relay/src/relay/prompt_quarantine.cc
+++ b/packages/relay/src/relay/prompt_quarantine.cc
@@ -29,6 +29,9 @@
 /// its streams and its layers.
 constexpr Duration kTrialDelay = std::chrono::seconds(30);
 constexpr int kTrialDelayGrowth = 4;
+/// The same for a request after two crashes: one of the many requests that wait
+/// on two servers which crash for another reason can look like their cause.
+constexpr Duration kFirstRequestTrialDelay = std::chrono::seconds(2);
 /// Error of a time that other processes have reported. A time is replaced only
 /// by one that is later by more, so that it does not drift as processes repeat
 /// the reports of each other.
@@ -148,7 +151,8 @@
     if (trusted && !record.quarantined) {
       required_rounds = kRoundsForTrustedPart;
     }
-    if (CountRounds(crashes) < required_rounds) {
+    if (CountRounds(crashes) < required_rounds ||
+        (!fingerprints && this->HasCommonRequest(record))) {
       continue;
     }
     const std::pair rank(!trusted, crashes.size());
@@ -169,6 +173,22 @@
   return best;
 }
 
+bool PromptQuarantine::HasCommonRequest(const Record& record) const {
+  return std::any_of(
+      this->records.begin(), this->records.end(), [&record](const auto& item) {
+        const auto& crashes = item.second.crashes;
+        return IsRequestFingerprint(item.first) &&
+               std::all_of(record.crashes.begin(), record.crashes.end(),
+                           [&crashes](const PartCrash& crash) {
+                             return std::any_of(
+                                 crashes.begin(), crashes.end(),
+                                 [&crash](const PartCrash& other) {
+                                   return other.engine == crash.engine;
+                                 });
+                           });
+      });
+}
+
 bool PromptQuarantine::IsTrialRunning(std::string_view part,
                                       const Record& record,
                                       TimePoint now) const {
@@ -187,6 +207,10 @@
 }
 
 TimePoint PromptQuarantine::NextTrial(const Group& group) {
+  if (IsRequestFingerprint(group.parts.front()) &&
+      group.crash_count <= kRoundsForQuarantine) {
+    return group.last_crash_at + kFirstRequestTrialDelay;
+  }
   Duration delay = kTrialDelay;
   for (auto count = kRoundsForQuarantine;
        count < std::min(group.crash_count, kMaxCrashesPerPart); ++count) {
--- a/packages/relay/src/relay/prompt_quarantine.h
+++ b/packages/relay/src/relay/prompt_quarantine.h
@@ -247,6 +247,10 @@
   /// part are not until its second crash: others of its requests, which are
   /// under way anyway, show whether it is sound.
   static bool NeedsTrial(const Record& record);
+  /// Whether a single request waited on all the servers that crashed under the
+  /// part. It is then the likelier cause, and others that share the part are
+  /// not to be rejected for it.
+  bool HasCommonRequest(const Record& record) const;
   /// Finds the parts, or the fingerprints, that explain most of the crashes
   /// that are not in `explained`. Fingerprints whose crashes are all in
   /// `by_parts` are left out. Empty if none has enough crashes.
--- a/packages/relay/tests/relay/crashing_engine_test.cc
+++ b/packages/relay/tests/relay/crashing_engine_test.cc
@@ -39,8 +39,8 @@
     }
   }
 
-  Peer& Send(const std::string& parts) {
-    return this->Call(Request("/s/x", "Parts: " + parts + "\r\n"));
+  Peer& Send(const std::string& parts, const std::string& path = "/s/x") {
+    return this->Call(Request(path, "Parts: " + parts + "\r\n"));
   }
   int Requests() const {
     int count = 0;
@@ -128,28 +128,56 @@
 
 }  // namespace
 
-TEST_CASE("A prompt part that has crashed two engines reaches no third one",
+TEST_CASE("A prompt part whose requests crash two engines reaches no third one",
           "[relay][quarantine]") {
   EngineHarness harness;
   Peer& caller = harness.Send("bad");
   ScriptedServer& first = harness.Receiver(1);
+  // Without retry budget, another request is the trial of the part.
+  harness.relay.retry_budget.SetLimits({0, 0, std::chrono::seconds(10)});
   harness.Pause(50);
   first.Crash();
-  ScriptedServer& second = harness.Receiver(2);
+  CHECK(harness.Receives(caller, "HTTP/1.1 502"));
   REQUIRE(harness.IsSuspect("bad", 1));
+  harness.relay.retry_budget.SetLimits({0.2, 100, std::chrono::seconds(10)});
+  Peer& trial = harness.Send("bad", "/s/y");
+  ScriptedServer& second = harness.Receiver(2);
   harness.Pause(50);
   second.Crash();
-  CHECK(harness.Receives(caller, "HTTP/1.1 502"));
+  CHECK(harness.Receives(trial, "HTTP/1.1 502"));
   REQUIRE(harness.IsSuspect("bad", 2));
 
-  Peer& repeat = harness.Send("bad,other");
+  Peer& repeat = harness.Send("bad,other", "/s/z");
   CHECK(harness.Receives(repeat, "HTTP/1.1 503"));
   CHECK(repeat.received.find("Retry-After: ") != std::string::npos);
   CHECK(harness.Requests() == 2);
 
-  Peer& sound = harness.Send("other");
+  Peer& sound = harness.Send("other", "/s/z");
+  harness.Receiver(3).last().channel->Write(Stream());
+  CHECK(harness.Receives(sound, "data: b"));
+}
+
+// Guards against sound requests that were rejected for a part that they share
+// with the one request that crashes engines.
+TEST_CASE("A part is not blamed for the crashes of a single request",
+          "[relay][quarantine]") {
+  EngineHarness harness;
+  Peer& caller = harness.Send("shared");
+  ScriptedServer& first = harness.Receiver(1);
+  harness.Pause(50);
+  first.Crash();
+  ScriptedServer& second = harness.Receiver(2);
+  REQUIRE(harness.IsSuspect("shared", 1));
+  harness.Pause(50);
+  second.Crash();
+  CHECK(harness.Receives(caller, "HTTP/1.1 502"));
+  REQUIRE(harness.IsSuspect("shared", 2));
+  CHECK(harness.Receives(harness.Send("shared"), "HTTP/1.1 503"));
+  Peer& sound = harness.Send("shared", "/s/y");
   harness.Receiver(3).last().channel->Write(Stream());
   CHECK(harness.Receives(sound, "data: b"));
+  CHECK(harness.Receives(harness.Send("shared"), "HTTP/1.1 503"));
+  CHECK(harness.Requests() == 3);
 }
 
 TEST_CASE("An engine that crashes after the head of an unframed stream counts",
--- a/packages/relay/tests/relay/request_quarantine_test.cc
+++ b/packages/relay/tests/relay/request_quarantine_test.cc
@@ -151,6 +151,9 @@
   PromptQuarantine quarantine;
   Crash(quarantine, 1, {kDeadly, "bad"}, 200);
   Crash(quarantine, 2, {kDeadly, "bad"}, 400);
+  CHECK_FALSE(quarantine.IsQuarantined("bad"));
+  CHECK(quarantine.IsQuarantined(kDeadly));
+  Crash(quarantine, 3, {Fingerprint(2), "bad"}, 450);
   CHECK(quarantine.IsQuarantined("bad"));
   CHECK_FALSE(quarantine.IsQuarantined(kDeadly));
   quarantine.RecordStart(Parts{Fingerprint(1), "bad"}, At(500));
@@ -158,6 +161,25 @@
   CHECK(quarantine.IsQuarantined(kDeadly));
 }
 
+// Guards against sound requests that are rejected for long after they waited on
+// two servers which crashed for another reason.
+TEST_CASE("A request is tried again soon after its second crash",
+          "[relay][quarantine]") {
+  PromptQuarantine quarantine;
+  Crash(quarantine, 1, {kDeadly}, 200);
+  Crash(quarantine, 2, {kDeadly}, 400);
+  CHECK(Decide(quarantine, {kDeadly}, 2300) == AdmissionDecision::kReject);
+  CHECK(Decide(quarantine, {kDeadly}, 2500) == AdmissionDecision::kTrial);
+  SECTION("and is sound if it begins") {
+    quarantine.RecordStart(Parts{kDeadly}, At(2600));
+    CHECK(Decide(quarantine, {kDeadly}, 2600) == AdmissionDecision::kSend);
+  }
+  SECTION("and rejected for long if it crashes a third server") {
+    Crash(quarantine, 3, {kDeadly}, 2600);
+    CHECK(Decide(quarantine, {kDeadly}, 100000) == AdmissionDecision::kReject);
+  }
+}
+
 TEST_CASE("A common part that turns deadly is found despite fingerprints",
           "[relay][quarantine]") {
   PromptQuarantine quarantine;
