Count runs and loads right while two servers have a request

Tests: "A stream that goes on has used a try at the other server" and the section "the other one, whose answer has begun" are new; the load is checked by reading only.

--- a/packages/relay/src/relay/exchange_quarantine.cc
+++ b/packages/relay/src/relay/exchange_quarantine.cc
@@ -134,8 +134,8 @@
   // to write the response that would crash it.
   if (this->call != nullptr) {
     this->call->Cancel();
+    this->ReleaseTry();
   }
-  this->ReleaseTry();
   this->DropSilentTry();
   this->may_have_run = true;
   this->GiveUp("the request or a part of its prompt crashes servers");
--- a/packages/relay/src/relay/exchange_responses.cc
+++ b/packages/relay/src/relay/exchange_responses.cc
@@ -81,6 +81,7 @@
     case ResponseClass::kNotForwardable:
       this->DropResponse(this->head->status < kFirstServerError);
       this->may_have_run = true;
+      ++this->tries_run;
       this->GiveUp("the server failed");
       return;
   }
--- a/packages/relay/src/relay/silent_try.cc
+++ b/packages/relay/src/relay/silent_try.cc
@@ -66,6 +66,10 @@
     return;
   }
   Exchange& owner = this->exchange;
+  if (owner.call != nullptr && owner.head) {
+    owner.DropSilentTry();  // The answer of the other server is arriving.
+    return;
+  }
   owner.ContinueSilentTry("the silent server has answered");
   owner.OnResponse(std::move(received));
 }
--- a/packages/relay/tests/relay/silent_try_test.cc
+++ b/packages/relay/tests/relay/silent_try_test.cc
@@ -170,9 +170,31 @@
     harness.Write(*harness.other, answer + "ok");
     CHECK(harness.Ends(*harness.silent));
   }
+  SECTION("the other one, whose answer has begun") {
+    harness.Write(*harness.other, answer + "o");
+    harness.Settle();
+    harness.Write(*harness.silent, answer);
+    harness.Settle();
+    harness.Write(*harness.other, "k");
+  }
   CHECK(harness.Receives(*harness.caller, "\r\n\r\nok"));
 }
 
+// Guards against more runs than the route allows: the answer of the other
+// server was not counted as a run.
+TEST_CASE("A stream that goes on has used a try at the other server",
+          "[relay][streams][silent]") {
+  SilentServerHarness harness(1);
+  harness.Write(*harness.other,
+                "HTTP/1.1 400 Bad\r\nAttempt: a1\r\nSignature: s\r\n"
+                "Content-Length: 0\r\n\r\n");
+  harness.Settle();
+  CHECK_FALSE(harness.caller->ended);
+  harness.silent->last().channel->Close();
+  CHECK(harness.Until([&] { return harness.caller->ended; }));
+  CHECK(harness.other->requests() == 1);
+}
+
 TEST_CASE("A request at two servers ends at both", "[relay][streams][silent]") {
   SilentServerHarness harness(1);
   SECTION("when its caller disconnects") { harness.caller->channel->Close(); }
