Judge each try of a request by its own events

Found by the review, by reading: - Events were counted over all tries, so a request that sends one event in each run and then crashes its engine counted as sound after the second run, and its crashes were cleared. - A request that had waited for a trial once did not wait for the probe of its own crash later. - A signed 504 cleared all crashes, but a time limit can pass before the request has run.

--- a/packages/relay/src/relay/crash_probe.h
+++ b/packages/relay/src/relay/crash_probe.h
@@ -33,8 +33,7 @@
   ~CrashProbe();
 
   /// A request with `keys`, its fingerprint and its shared prompt parts, was
-  /// sent to `engine` at `sent_at` and
-  /// was broken off before its first event.
+  /// sent to `engine` at `sent_at` and was broken off before its first event.
   void ReportBroken(const ServerPtr& engine, std::vector<std::string> keys,
                     TimePoint sent_at);
   /// Whether it is not known yet if an engine crashed under a request with one
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -242,6 +242,8 @@
   this->try_started_at = this->relay.Now();
   this->last_progress_at = this->try_started_at;
   this->try_has_events = false;
+  this->data_events = 0;
+  this->waiting_since.reset();
   this->moved_at.reset();
   this->lost_engines.clear();
   this->head.reset();
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -297,7 +297,7 @@
   /// Reading from the server is paused because the caller reads too slowly.
   bool reading_paused = false;
   std::optional<std::uint64_t> last_event_id;
-  int data_events = 0;  ///< Events with data so far, over all tries.
+  int data_events = 0;  ///< Events with data since the last try was sent.
   /// Time of the latest of: start of the try, event with new data, end of a
   /// pause in reading.
   TimePoint last_progress_at{};
--- a/packages/relay/src/relay/exchange_responses.cc
+++ b/packages/relay/src/relay/exchange_responses.cc
@@ -18,6 +18,8 @@
 /// server.
 constexpr unsigned kWrongServerStatus = 421;
 constexpr unsigned kFirstServerError = 500;
+/// Status with which a server answers a request whose time limit has passed.
+constexpr unsigned kGatewayTimeoutStatus = 504;
 /// Events after which the request has not crashed the engine. An engine can
 /// have sent the first one when it crashes.
 constexpr int kEventsOfSoundPrompt = 2;
@@ -256,8 +258,10 @@
     return;
   }
   this->DropSilentTry();
-  // A server that signs an error has not crashed either.
-  if (this->head->metadata.is_signed && !IsUnframed(*this->head)) {
+  // A server that signs an error has not crashed either, but a time limit can
+  // have passed before the request ran.
+  if (this->head->metadata.is_signed && !IsUnframed(*this->head) &&
+      this->head->status != kGatewayTimeoutStatus) {
     this->RecordPromptStart();
   }
   this->EndTry(this->head->status < kFirstServerError);
--- a/packages/relay/src/relay/prompt_quarantine.h
+++ b/packages/relay/src/relay/prompt_quarantine.h
@@ -110,11 +110,12 @@
 ///
 /// A request itself can crash servers, although its parts are sound. Its
 /// fingerprint (see MakeRequestFingerprint) is therefore used like a part that
-/// only repeats of the request have. Parts are judged without regard to
-/// fingerprints, and fingerprints only if the quarantined parts do not explain
-/// all of their crashes. Fingerprints that cannot be told apart are not
-/// quarantined, because no request has several: their requests are trials until
-/// a further crash or a response tells them apart.
+/// only repeats of the request have. Parts are judged first, but a part is not
+/// blamed while one request waited on all of its crashes; a fingerprint counts
+/// only if the quarantined parts do not explain all of its crashes.
+/// Fingerprints that cannot be told apart are not quarantined, because no
+/// request has several: their requests are trials until a further crash or a
+/// response tells them apart.
 class PromptQuarantine {
  public:
   /// Limits on the state, since callers choose the ids of parts. Fingerprints
--- a/packages/relay/tests/relay/crashing_engine_test.cc
+++ b/packages/relay/tests/relay/crashing_engine_test.cc
@@ -157,6 +157,26 @@
   CHECK(harness.Receives(sound, "data: b"));
 }
 
+// Guards against evidence that was cleared by the events of several tries, each
+// of which crashed its engine after the first.
+TEST_CASE("An engine that crashes after one event of each try counts",
+          "[relay][quarantine]") {
+  EngineHarness harness;
+  harness.Send("bad");
+  for (int number = 1; number <= 2; ++number) {
+    ScriptedServer& engine = harness.Receiver(number);
+    engine.last().channel->Write(
+        "HTTP/1.1 200 OK\r\nAttempt: a1\r\nSignature: s\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n" +
+        Chunk("id: " + std::to_string(number) + "\ndata: a\n\n"));
+    harness.Pause(50);
+    harness.runtime.Settle();
+    engine.Crash();
+    REQUIRE(harness.IsSuspect("bad", static_cast<std::size_t>(number)));
+    harness.Pause(10);
+  }
+}
+
 // Guards against sound requests that were rejected for a part that they share
 // with the one request that crashes engines.
 TEST_CASE("A part is not blamed for the crashes of a single request",
