--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -52,9 +52,11 @@
         self.removed_at = None  # When the store accepted the removal of the entry.
         self.connections = set()
 
-    async def start(self):
-        self.listener = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=1 << 16)
-        self.address = "127.0.0.1:%d" % self.listener.sockets[0].getsockname()[1]
+    async def start(self, listener=None):
+        if listener is None:
+            listener = socket.create_server(("127.0.0.1", 0))
+        self.listener = await asyncio.start_server(self._serve, sock=listener, limit=1 << 16)
+        self.address = "127.0.0.1:%d" % listener.getsockname()[1]
         self.born = int(time.time() * 1000)
         self.listed = True
         self.task = asyncio.ensure_future(self._beat())
