--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -7,7 +7,6 @@
 import json
 import os
 import random
-import signal
 import socket
 import struct
 import sys
@@ -25,7 +24,6 @@
 TENANT = "tenant-one"
 ZONES = ("burnaby", "surrey", "abbotsford")
 HEARTBEAT_S = 1.2
-DRAIN_S = 2.0  # drainMs of the sheets.
 STABILITY_S = 3.0  # stabilityWindowMs of the sheets.
 # Bounds of the small sites, as the template of the settings takes them.
 BOUNDS = {"grace_period_s": 8, "configuration_bound_ms": 2000, "server_list_bound_ms": 2000,
@@ -48,8 +46,6 @@
         self.id = f"i-{next(world.numbers):04x}"
         self.heartbeats = 0
         self.listed = False
-        self.leaving = False
-        self.removed_at = None  # When the store accepted the removal of the entry.
         self.connections = set()
 
     async def start(self, listener=None):
@@ -65,21 +61,17 @@
     async def _beat(self):
         while self.listed:
             self.heartbeats += 1
-            self.world.store.put("servers", self.id, json.dumps({
-                "service": self.service, "address": self.address, "zone": self.zone,
-                "version": "v1", "slots": self.slots, "state": "ready", "coldRemainingMs": 0,
-                "sequenceNumber": self.heartbeats, "born": self.born}).encode())
+            self.publish()
             await asyncio.sleep(HEARTBEAT_S)
 
-    def leave(self):
-        """Removes the entry without a report of draining; the server goes on serving and
-        says in its answers that it leaves."""
-        self.listed = False
-        self.leaving = True
-        self.task.cancel()
-        self.world.store.remove("servers", self.id)
-        self.removed_at = self.world.now()
-        self.world.note(f"{self.id} leaves: its entry is removed")
+    def publish(self):
+        self.world.store.put("servers", self.id, self.row())
+
+    def row(self):
+        return json.dumps({
+            "service": self.service, "address": self.address, "zone": self.zone,
+            "version": "v1", "slots": self.slots, "state": "ready", "coldRemainingMs": 0,
+            "sequenceNumber": self.heartbeats, "born": self.born}).encode()
 
     async def stop(self):
         self.listed = False
@@ -88,9 +80,9 @@
         for writer in list(self.connections):
             writer.transport.abort()
 
-    def headers(self, attempt):
-        text = f"X-Attempt-Id: {attempt}\r\n"
-        return text + ("Server-Leaving: 1\r\n" if self.leaving else "")
+    @staticmethod
+    def headers(attempt):
+        return f"X-Attempt-Id: {attempt}\r\n"
 
     async def _serve(self, reader, writer):
         self.connections.add(writer)
@@ -142,8 +134,6 @@
         self.zone = zone
         self.ports = {kind: free_port() for kind in ("front", "ready", "metrics", "peer")}
         self.process = None
-        self.stopped_at = None  # While it is frozen.
-        self.woken_at = None
 
     async def start(self):
         path = os.path.join(self.world.directory, self.name + ".json")
@@ -173,25 +163,8 @@
         finally:
             writer.transport.abort()
 
-    def freeze(self):
-        self.world.note(f"{self.name} is frozen")
-        self.stopped_at = self.world.now()
-        self.process.send_signal(signal.SIGSTOP)
-
-    def wake(self):
-        self.process.send_signal(signal.SIGCONT)
-        self.woken_at = self.world.now()
-        self.stopped_at = None
-        self.world.note(f"{self.name} runs again")
-
-    def in_touch(self, at):
-        """Whether the machine was undisturbed for the whole stability window before."""
-        return self.stopped_at is None and (self.woken_at is None
-                                            or at - self.woken_at >= STABILITY_S)
-
     async def stop(self):
         if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(signal.SIGCONT)
             self.process.kill()
             await self.process.wait()
         self.log.close()
@@ -256,15 +229,23 @@
             "version": 7,
             "routes": [{"name": name, "host": HOST, "prefix": prefix, "kind": kind,
                         "timeoutMs": timeout, "targetLatencyMs": aim, "priority": 2,
-                        "service": service, "maxAttempts": attempts, "allowAnonymous": False}
+                        "service": service, "maxAttempts": attempts, "allowAnonymous": False,
+                        "streamResumption": kind == "streaming"}
                        for name, prefix, kind, timeout, aim, service, attempts in routes],
-            "services": [{"name": name, "healthCheckPath": "/health", "connectionLimit": 52,
-                          "protocol": "h1", "tls": False} for name in services],
+            "services": [self.service_document(item) for item in services],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304,
                        "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
             "tenants": [{"name": TENANT, "apiKeys": [KEY]}]}
         self.store.put("op", "config", json.dumps(document).encode())
 
+    @staticmethod
+    def service_document(item):
+        """`item`: a name, or a name and an engine profile."""
+        name, engine = item if isinstance(item, tuple) else (item, None)
+        document = {"name": name, "healthCheckPath": "/health", "connectionLimit": 52,
+                    "protocol": "h1", "tls": False}
+        return {**document, "engine": engine} if engine else document
+
     def request(self, method, path, attempt, deadline_ms, body=b""):
         text = (f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\n"
                 f"X-Deadline-Remaining-Ms: {deadline_ms}\r\nAuthorization: Token {KEY}\r\n")
