Take the head of a request before its body is parsed

Callers saw: a chunked request whose trailers name another X-Attempt-Id ran under that id; the relay took the server's response for that of another request, and the caller got 504 or nothing. Other trailers arrived at the server as headers.

Cause: the parser was eager, so that one call consumed all that had arrived. If trailers had arrived with the head, Beast added them to the message before TakeHead moved the head out of the parser.

Change: until the head is taken, the parser is not eager and stops behind it.

--- a/packages/relay/src/relay/caller_session.cc
+++ b/packages/relay/src/relay/caller_session.cc
@@ -45,7 +45,6 @@
 
 void CallerSession::PrepareForRequest() {
   this->parser.emplace();
-  this->parser->eager(true);
   this->head.reset();
   this->head_bytes = 0;
   this->running_bytes = 0;
@@ -164,12 +163,15 @@
       this->Reject(400, "the request cannot be read");
       break;
     }
-    this->TakeHead();
+    const bool head_taken = this->TakeHead();
     if (this->parser->is_done()) {
       this->Dispatch();
       continue;
     }
-    // What the parser leaves after the head is a chunk line or trailers.
+    if (head_taken && !this->input.empty()) {
+      continue;  // The parser has stopped behind the head.
+    }
+    // What the parser leaves of a body is a chunk line or trailers.
     if (this->head && this->input.size() > this->Limits().max_header_bytes) {
       this->Reject(431, "a chunk line or the trailers are too long");
       break;
@@ -183,11 +185,14 @@
   this->UpdateRequestHolding();
 }
 
-void CallerSession::TakeHead() {
-  if (!this->head && this->parser->is_header_done()) {
-    this->head.emplace(std::move(this->parser->get().base()));
-    this->head_bytes = HeaderBytes(*this->head);
+bool CallerSession::TakeHead() {
+  if (this->head || !this->parser->is_header_done()) {
+    return false;
   }
+  this->head.emplace(std::move(this->parser->get().base()));
+  this->head_bytes = HeaderBytes(*this->head);
+  this->parser->eager(true);
+  return true;
 }
 
 void CallerSession::SendContinueIfExpected() {
--- a/packages/relay/src/relay/caller_session.h
+++ b/packages/relay/src/relay/caller_session.h
@@ -107,9 +107,11 @@
   void RefuseForMemory();
   /// Counts a refused client.
   void CountRefusal(std::string_view reason);
-  /// Moves the head of the arriving request out of the parser, so that trailers
-  /// do not become a part of it.
-  void TakeHead();
+  /// Moves the head of the arriving request out of the parser as soon as it is
+  /// complete. Until then the parser is not eager and reads nothing behind the
+  /// head: it would add trailers that arrive in the same read to the head. True
+  /// if this call took the head.
+  bool TakeHead();
   /// Accounts for what the connection holds of the arriving or the running
   /// request, and makes way if that is too much.
   void UpdateRequestHolding();
--- a/packages/relay/tests/relay/callers/client_limits_test.cc
+++ b/packages/relay/tests/relay/callers/client_limits_test.cc
@@ -65,6 +65,23 @@
   CHECK(server.last().received.find("Attempt: a1") != std::string::npos);
 }
 
+// Guards against a request that ran under the id of its trailer: what arrived in
+// one read was parsed up to its end before the head was taken.
+TEST_CASE("Trailers that arrive together with the head are discarded",
+          "[relay][client_limits]") {
+  RelayHarness harness;
+  harness.Configure({MakeRoute("/a/", RetryPolicy::kNever)});
+  auto& server = harness.AddServer("s1");
+  Peer& caller = harness.Call(
+      "POST /a/1 HTTP/1.1\r\nHost: shop.example\r\nKey: k1\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n0\r\nAttempt: other\r\nDeadline-Ms: 1\r\n\r\n");
+  REQUIRE(harness.Gets(server, 1));
+  CHECK(harness.Receives(server.last(), "Content-Length: 3\r\n\r\nabc"));
+  CHECK(server.last().received.find("Attempt: other") == std::string::npos);
+  CHECK(caller.received.empty());
+}
+
 TEST_CASE("The oldest arriving request is refused with 503 for a newer one",
           "[relay][client_limits]") {
   RelayHarness harness;
