Take the limits of the VM from its settings

Callers saw: none directly; a process on a host whose /proc/meminfo shows more than the VM's memory held a multiple of that memory for clients that stop in the middle of a request, and was killed.

Cause: the default of caller_limits followed only from what the operating system shows. The platform states memory and descriptors of each VM, but the template did not pass them on.

The lower of the stated and the read figure counts. Both are optional; without them nothing changes.

--- a/packages/relay/src/relay/callers/client_limits.cc
+++ b/packages/relay/src/relay/callers/client_limits.cc
@@ -75,6 +75,16 @@
   return machine;
 }
 
+MachineLimits CombineMachineLimits(const MachineLimits& read,
+                                   const MachineLimits& stated) {
+  const auto lower = [](std::uint64_t first, std::uint64_t second) {
+    return first == 0 || second == 0 ? std::max(first, second)
+                                     : std::min(first, second);
+  };
+  return {lower(read.memory_bytes, stated.memory_bytes),
+          lower(read.descriptors, stated.descriptors)};
+}
+
 ClientLimits ComputeClientLimits(const MachineLimits& machine,
                                  const ClientLimits& configured) {
   const std::uint64_t shared =
--- a/packages/relay/src/relay/callers/client_limits.h
+++ b/packages/relay/src/relay/callers/client_limits.h
@@ -20,7 +20,7 @@
   std::size_t connections = 0;
 };
 
-/// Properties of the machine that the default limits follow from.
+/// Properties of the machine that the default limits follow from; 0 if unknown.
 struct MachineLimits {
   std::uint64_t memory_bytes = 0;
   std::uint64_t descriptors = 0;  ///< Soft limit of RLIMIT_NOFILE.
@@ -31,6 +31,12 @@
 /// the smallest VM of the platform has it.
 MachineLimits ReadMachineLimits();
 
+/// The limits to use on a machine for which the operating system shows `read`
+/// and the settings state `stated`: the lower figure of each. Where several VMs
+/// share a host, the operating system can show the figures of the host.
+MachineLimits CombineMachineLimits(const MachineLimits& read,
+                                   const MachineLimits& stated);
+
 /// The limits for a machine. A limit that is not 0 in `configured` is taken
 /// over.
 ClientLimits ComputeClientLimits(const MachineLimits& machine,
--- a/packages/relay/src/relay/entry_daemon.cc
+++ b/packages/relay/src/relay/entry_daemon.cc
@@ -110,8 +110,9 @@
     this->lease.SetFirstStart(this->settings.first_start);
     this->relay.engines = services.engines;
     this->relay.response_limits = this->settings.response_limits;
-    this->relay.client_limits =
-        ComputeClientLimits(ReadMachineLimits(), this->settings.client_limits);
+    this->relay.client_limits = ComputeClientLimits(
+        CombineMachineLimits(ReadMachineLimits(), this->settings.machine),
+        this->settings.client_limits);
     this->relay.input_budget.SetLimit(this->relay.client_limits.held_bytes);
     this->relay.hedging.SetSettings(this->settings.hedging);
     this->relay.configuration_freshness.SetBound(
--- a/packages/relay/src/relay/entry_settings.cc
+++ b/packages/relay/src/relay/entry_settings.cc
@@ -36,6 +36,13 @@
 /// minimum would refuse ordinary callers that send at the same time.
 constexpr std::uint64_t kMinHeldBytes = 1024 * 1024;
 constexpr std::uint64_t kMaxHeldBytes = 64ULL * 1024 * 1024 * 1024;
+/// Range of the memory of a machine, in MB; it catches mistaken units.
+constexpr double kMinMemoryMb = 16;
+constexpr double kMaxMemoryMb = 16'000'000;
+constexpr double kBytesPerMegabyte = 1e6;
+/// Range of the file descriptors of a process.
+constexpr double kMinDescriptors = 64;
+constexpr double kMaxDescriptors = 1e9;
 /// Range of the connections of callers.
 constexpr std::uint64_t kMinConnections = 16;
 constexpr std::uint64_t kMaxConnections = 1'000'000;
@@ -102,6 +109,19 @@
   });
 }
 
+void ParseMachine(JsonReader& reader, MachineLimits& machine) {
+  if (!reader.Has("machine")) {
+    return;
+  }
+  reader.Object("machine", [&machine](JsonReader& given) {
+    machine.memory_bytes = static_cast<std::uint64_t>(
+        given.NumberOr("memory_mb", kMinMemoryMb, kMaxMemoryMb, 0) *
+        kBytesPerMegabyte);
+    machine.descriptors = static_cast<std::uint64_t>(
+        given.NumberOr("descriptors", kMinDescriptors, kMaxDescriptors, 0));
+  });
+}
+
 void ParseClientLimits(JsonReader& reader, ClientLimits& limits) {
   if (!reader.Has("caller_limits")) {
     return;
@@ -161,6 +181,7 @@
   ParseRetry(reader, settings.retry);
   ParseHedging(reader, settings.hedging);
   ParseResponseLimits(reader, settings.response_limits);
+  ParseMachine(reader, settings.machine);
   ParseClientLimits(reader, settings.client_limits);
   settings.log_level = ParseLogLevel(reader);
   reader.Finish();
--- a/packages/relay/src/relay/entry_settings.h
+++ b/packages/relay/src/relay/entry_settings.h
@@ -35,6 +35,8 @@
   RetryBudget::Limits retry;
   HedgeSettings hedging;
   ResponseLimits response_limits;
+  /// Limits of the machine as its operator states them.
+  MachineLimits machine;
   /// A limit of 0 is to follow from the machine.
   ClientLimits client_limits;
   std::string log_level = "info";  ///< debug, info, warning or error.
--- a/packages/relay/tests/relay/callers/client_limits_test.cc
+++ b/packages/relay/tests/relay/callers/client_limits_test.cc
@@ -30,6 +30,19 @@
   CHECK(ComputeClientLimits({0, 20}, {}).connections == 16);
 }
 
+TEST_CASE("The lower limit of the machine counts, whoever names it",
+          "[relay][client_limits]") {
+  const MachineLimits host{24'000'000'000, 20'000};
+  CHECK(CombineMachineLimits(host, {112'000'000, 2870}).memory_bytes ==
+        112'000'000);
+  CHECK(CombineMachineLimits(host, {112'000'000, 2870}).descriptors == 2870);
+  CHECK(CombineMachineLimits({64'000'000, 500}, host).memory_bytes ==
+        64'000'000);
+  CHECK(CombineMachineLimits({64'000'000, 500}, host).descriptors == 500);
+  CHECK(CombineMachineLimits(host, {}).memory_bytes == host.memory_bytes);
+  CHECK(CombineMachineLimits({}, host).descriptors == host.descriptors);
+}
+
 TEST_CASE("Connections give way by use, then by age",
           "[relay][client_limits]") {
   const TimePoint now{};
--- a/packages/relay/tests/relay/entry_settings_test.cc
+++ b/packages/relay/tests/relay/entry_settings_test.cc
@@ -142,4 +142,21 @@
         std::string::npos);
 }
 
+TEST_CASE("Limits of the machine are parsed and checked", "[relay][settings]") {
+  Json settings = MakeValidSettings();
+  const auto defaults = ParseEntrySettings(settings.dump());
+  REQUIRE(defaults);
+  CHECK(defaults.value().machine.memory_bytes == 0);
+  CHECK(defaults.value().machine.descriptors == 0);
+  settings["machine"] = {{"memory_mb", 260}, {"descriptors", 4200}};
+  const auto parsed = ParseEntrySettings(settings.dump());
+  REQUIRE(parsed);
+  CHECK(parsed.value().machine.memory_bytes == 260'000'000);
+  CHECK(parsed.value().machine.descriptors == 4200);
+  settings["machine"] = {{"memory_mb", 260'000'000}, {"descriptors", 1}};
+  const std::string mistakes = MistakesIn(settings);
+  CHECK(mistakes.find("/machine/memory_mb") != std::string::npos);
+  CHECK(mistakes.find("/machine/descriptors") != std::string::npos);
+}
+
 }  // namespace qp::relay::testing
