Free the memory of emptied buffers of connections

Callers saw: many connections together took about four times of held_bytes.

Cause: `text = {}` and the assignment of a short string keep the capacity of a std::string (shown with a test program: 65,536 bytes stay). So the input buffer of a refused or idle connection, up to 64 KB, and the write buffer of each connection that ever had unsent bytes stayed allocated. The budget counted them as free. On connections to servers it was a copy of the last request, up to 4 MB each.

Ruled out: fragmentation of the heap.

Change: clear and shrink_to_fit. Unit tests for the input buffer, Write and WriteOwned; they read the budget and the capacity.

--- a/packages/relay/src/relay/caller_session.cc
+++ b/packages/relay/src/relay/caller_session.cc
@@ -319,7 +319,8 @@
   const auto self = this->shared_from_this();
   this->parser.reset();
   this->head.reset();
-  this->input = {};
+  this->input.clear();
+  this->input.shrink_to_fit();
   this->request_holding.Release();
   this->relay.metrics.Count("quetzalpost_requests_total",
                             std::to_string(status));
--- a/packages/relay/src/relay/callers/caller_session_limits.cc
+++ b/packages/relay/src/relay/callers/caller_session_limits.cc
@@ -20,7 +20,8 @@
 /// Frees the memory that `text` does not need, if it is much.
 void Trim(std::string& text) {
   if (text.capacity() > kKeptInputBytes && text.capacity() / 2 > text.size()) {
-    text = std::string(text);
+    // Assigning a short string would keep the memory.
+    text.shrink_to_fit();
   }
 }
 
--- a/packages/relay/src/relay/channel.cc
+++ b/packages/relay/src/relay/channel.cc
@@ -157,15 +157,20 @@
   if (failure && failure != asio::error::would_block) {
     // The next read ends the channel.
     this->failed_write = failure;
-    this->pending = {};
-    this->flushed_bytes = 0;
+    this->ClearPending();
     return;
   }
   if (this->unsent() > 0) {
     this->WaitForWritable();
     return;
   }
-  this->pending = {};
+  this->ClearPending();
+}
+
+void Channel::ClearPending() {
+  // Assigning an empty string would keep the memory.
+  this->pending.clear();
+  this->pending.shrink_to_fit();
   this->flushed_bytes = 0;
 }
 
@@ -199,8 +204,7 @@
     this->WaitForWritable();
     return;
   }
-  this->pending = {};
-  this->flushed_bytes = 0;
+  this->ClearPending();
   if (this->current_reader != nullptr) {
     this->current_reader->OnWritten();
   }
--- a/packages/relay/src/relay/channel.h
+++ b/packages/relay/src/relay/channel.h
@@ -73,6 +73,8 @@
   void WaitForReadable();
   void HandleReadable(const boost::system::error_code& failure);
   void WaitForWritable();
+  /// Empties the write buffer and frees its memory.
+  void ClearPending();
   void Flush();
   void Fail(const boost::system::error_code& failure);
 
--- a/packages/relay/tests/relay/callers/client_limits_test.cc
+++ b/packages/relay/tests/relay/callers/client_limits_test.cc
@@ -78,8 +78,8 @@
   CHECK(server.last().received.find("Attempt: a1") != std::string::npos);
 }
 
-// Guards against a request that ran under the id of its trailer: what arrived in
-// one read was parsed up to its end before the head was taken.
+// Guards against a request that ran under the id of its trailer: what arrived
+// in one read was parsed up to its end before the head was taken.
 TEST_CASE("Trailers that arrive together with the head are discarded",
           "[relay][client_limits]") {
   RelayHarness harness;
@@ -95,6 +95,46 @@
   CHECK(caller.received.empty());
 }
 
+// Guards against buffers that kept their memory: assigning an empty string to a
+// std::string frees nothing.
+TEST_CASE("The input buffer of an arriving request is freed once it is parsed",
+          "[relay][client_limits]") {
+  RelayHarness harness;
+  harness.Configure({MakeRoute("/a/", RetryPolicy::kNever)});
+  harness.Call(std::string(kChunkedHead) + "c350\r\n" +
+               std::string(50'000, 'x') + "\r\n");
+  REQUIRE(harness.Until(
+      [&] { return harness.relay.input_budget.held() >= 50'000; }));
+  // A body keeps up to a quarter more than it needs.
+  CHECK(harness.relay.input_budget.held() < 70'000);
+}
+
+TEST_CASE("A write buffer is freed once it is sent", "[relay][client_limits]") {
+  qp::testing::TestRuntime runtime;
+  asio::ip::tcp::acceptor acceptor(runtime.io(),
+                                   {asio::ip::address_v4::loopback(), 0});
+  auto channel = std::make_shared<Channel>(Channel::Socket(runtime.io()));
+  channel->Connect(acceptor.local_endpoint(), [](boost::system::error_code) {});
+  Peer reader(std::make_shared<Channel>(acceptor.accept()));
+  runtime.Settle();
+  constexpr std::size_t kBytes = 8 << 20;
+  const bool owned = GENERATE(false, true);
+  if (owned) {
+    channel->WriteOwned(std::string(kBytes, 'x'));
+  } else {
+    channel->Write(std::string(kBytes, 'x'));
+  }
+  REQUIRE(channel->unsent() > 0);
+  reader.channel->SetReader(&reader);
+  while (reader.received.size() < kBytes) {
+    runtime.Settle();
+  }
+  runtime.Settle();
+  CHECK(channel->unsent() == 0);
+  CHECK(channel->buffer_bytes() < 64);
+  channel->Close();
+}
+
 TEST_CASE("The oldest arriving request is refused with 503 for a newer one",
           "[relay][client_limits]") {
   RelayHarness harness;
