Limit what the kernel buffers for connections of callers

Change: the listening socket sets SO_RCVBUF and TCP_NOTSENT_LOWAT, which accepted connections take over, so that all receive buffers together take at most three quarters of held_bytes, but 16 KB each at least. The accept queue is limited to half of the connections, 128 at least. On the smallest VM that is 17 KB and 850.

--- a/packages/relay/src/relay/caller_listener.cc
+++ b/packages/relay/src/relay/caller_listener.cc
@@ -1,5 +1,9 @@
 #include "relay/caller_listener.h"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -30,7 +34,13 @@
     this->acceptor.bind(endpoint, failure);
   }
   if (!failure) {
-    this->acceptor.listen(asio::socket_base::max_listen_connections, failure);
+    this->LimitSocketBuffers();
+    const std::size_t backlog = this->relay.client_limits.backlog;
+    this->acceptor.listen(
+        backlog == 0 ? asio::socket_base::max_listen_connections
+                     : static_cast<int>(std::min<std::size_t>(
+                           backlog, asio::socket_base::max_listen_connections)),
+        failure);
   }
   if (failure) {
     return Error{ErrorCode::kUnavailable, "caller.listen", std::string(address),
@@ -40,6 +50,22 @@
   return Ok();
 }
 
+void CallerListener::LimitSocketBuffers() {
+  const auto bytes =
+      static_cast<int>(this->relay.client_limits.socket_buffer_bytes);
+  if (bytes == 0) {
+    return;
+  }
+  // Without the options the process works as well, with more memory.
+  boost::system::error_code ignored;
+  this->acceptor.set_option(asio::socket_base::receive_buffer_size(bytes),
+                            ignored);
+  // Limits what waits to be sent, and leaves the kernel to choose how much is
+  // on the way.
+  ::setsockopt(this->acceptor.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+               &bytes, sizeof(bytes));
+}
+
 void CallerListener::Accept() {
   this->acceptor.async_accept(
       [this](boost::system::error_code failure, tcp::socket socket) {
--- a/packages/relay/src/relay/caller_listener.h
+++ b/packages/relay/src/relay/caller_listener.h
@@ -36,6 +36,9 @@
   void OnSessionClosed(CallerSession* session) override;
 
  private:
+  /// Limits what the kernel buffers for each connection. Accepted connections
+  /// take these options over from the listening socket.
+  void LimitSocketBuffers();
   void Accept();
   /// Closes the connection that can best be spared. False if all connections
   /// are busy.
--- a/packages/relay/src/relay/callers/client_limits.cc
+++ b/packages/relay/src/relay/callers/client_limits.cc
@@ -28,6 +28,19 @@
 constexpr std::uint64_t kCallerShareNumerator = 2;
 constexpr std::uint64_t kCallerShareDenominator = 3;
 constexpr std::uint64_t kMinConnections = 16;
+/// The kernel's receive buffers of all connections together take at most three
+/// quarters of the held bytes, a quarter of the memory. They are outside the
+/// budget, but the platform counts received bytes that are not yet read.
+constexpr std::uint64_t kSocketShareNumerator = 3;
+constexpr std::uint64_t kSocketShareDenominator = 4;
+/// Below the minimum, a caller 10 ms away could not send a body of 4 MB within
+/// the header timeout of 3 s.
+constexpr std::uint64_t kMinSocketBufferBytes = 16 * 1024;
+constexpr std::uint64_t kMaxSocketBufferBytes = 256 * 1024;
+/// Each connection in the accept queue has a receive buffer as well, so that
+/// the queue is limited to a part of the connections.
+constexpr std::uint64_t kBacklogDivisor = 2;
+constexpr std::uint64_t kMinBacklog = 128;
 
 /// Total memory from /proc/meminfo; 0 if it cannot be read.
 std::uint64_t ReadTotalMemory() {
@@ -101,6 +114,11 @@
   if (configured.connections > 0) {
     limits.connections = configured.connections;
   }
+  limits.socket_buffer_bytes =
+      std::clamp(limits.held_bytes / limits.connections *
+                     kSocketShareNumerator / kSocketShareDenominator,
+                 kMinSocketBufferBytes, kMaxSocketBufferBytes);
+  limits.backlog = std::max(limits.connections / kBacklogDivisor, kMinBacklog);
   return limits;
 }
 
--- a/packages/relay/src/relay/callers/client_limits.h
+++ b/packages/relay/src/relay/callers/client_limits.h
@@ -18,6 +18,12 @@
   /// that are not sent yet.
   std::size_t held_bytes = 0;
   std::size_t connections = 0;
+  /// Bytes that the kernel buffers for one connection in each direction. 0
+  /// leaves the size to the kernel.
+  std::size_t socket_buffer_bytes = 0;
+  /// Connections that wait to be accepted. 0 stands for the maximum of the
+  /// operating system.
+  std::size_t backlog = 0;
 };
 
 /// Properties of the machine that the default limits follow from; 0 if unknown.
@@ -37,8 +43,8 @@
 MachineLimits CombineMachineLimits(const MachineLimits& read,
                                    const MachineLimits& stated);
 
-/// The limits for a machine. A limit that is not 0 in `configured` is taken
-/// over.
+/// The limits for a machine. `held_bytes` and `connections` are taken over from
+/// `configured` if they are not 0; the others follow from these two.
 ClientLimits ComputeClientLimits(const MachineLimits& machine,
                                  const ClientLimits& configured);
 
--- a/packages/relay/tests/relay/callers/client_limits_test.cc
+++ b/packages/relay/tests/relay/callers/client_limits_test.cc
@@ -30,6 +30,18 @@
   CHECK(ComputeClientLimits({0, 20}, {}).connections == 16);
 }
 
+TEST_CASE("What the kernel buffers follows from the other limits",
+          "[relay][client_limits]") {
+  const auto compute = [](std::size_t held_bytes, std::size_t connections) {
+    return ComputeClientLimits({}, {held_bytes, connections});
+  };
+  CHECK(compute(37 << 20, 1700).socket_buffer_bytes == 17'115);
+  CHECK(compute(37 << 20, 1700).backlog == 850);
+  CHECK(compute(1 << 20, 1700).socket_buffer_bytes == 16 * 1024);
+  CHECK(compute(1 << 30, 16).socket_buffer_bytes == 256 * 1024);
+  CHECK(compute(1 << 30, 16).backlog == 128);
+}
+
 TEST_CASE("The lower limit of the machine counts, whoever names it",
           "[relay][client_limits]") {
   const MachineLimits host{24'000'000'000, 20'000};
