Let waiting connections give way at the readiness address

Callers saw: 50 connections that stay open at the readiness or the metrics address kept everybody else out for up to 15 s, also the probes of the load balancer, which then takes a sound process out of rotation.

Cause: at its limit of connections, http::Server closed the new one.

Change: it closes the connection that has waited for the end of its request for longest. Connections with a request in work stay; if there are only such, the new one is closed as before.

--- a/packages/http/src/http/server.cc
+++ b/packages/http/src/http/server.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <list>
 #include <optional>
 #include <tuple>
 #include <unordered_set>
@@ -17,6 +18,12 @@
 namespace beast = boost::beast;
 using asio::ip::tcp;
 
+namespace {
+
+class Connection;
+
+}  // namespace
+
 struct Server::State {
   State(asio::io_context& context, Clock& time_source,
         ServerLimits server_limits, Handler& request_handler)
@@ -31,8 +38,14 @@
   ServerLimits limits;
   Handler& handler;
   tcp::acceptor acceptor;
+  /// Closes the connection that has waited for the end of its request for
+  /// longest. False if no connection waits for one.
+  bool CloseLongestWaiting();
+
   std::size_t connections = 0;
   std::size_t requests_in_flight = 0;
+  /// Connections whose request has not arrived whole, the longest wait first.
+  std::list<Connection*> waiting;
   bool stopped = false;
 };
 
@@ -240,6 +253,21 @@
   return response;
 }
 
+/// Lists a connection as waiting for the end of its request for as long as the
+/// object lives.
+class WaitingEntry {
+ public:
+  WaitingEntry(std::list<Connection*>& waiting, Connection& connection)
+      : list(waiting), position(list.insert(list.end(), &connection)) {}
+  ~WaitingEntry() { this->list.erase(this->position); }
+  WaitingEntry(const WaitingEntry&) = delete;
+  WaitingEntry& operator=(const WaitingEntry&) = delete;
+
+ private:
+  std::list<Connection*>& list;
+  std::list<Connection*>::iterator position;
+};
+
 using Parser = beast::http::request_parser<beast::http::string_body>;
 
 /// Reads one request into `parser`. After an error, the connection must be
@@ -270,7 +298,11 @@
   Parser parser;
   parser.header_limit(state->limits.max_header_bytes);
   parser.body_limit(state->limits.max_body_bytes);
-  const auto failure = co_await ReadRequest(connection, parser, state->limits);
+  boost::system::error_code failure;
+  {
+    const WaitingEntry entry(state->waiting, *connection);
+    failure = co_await ReadRequest(connection, parser, state->limits);
+  }
   if (failure) {
     // A connection that times out between requests is closed without a
     // response: an idle client made no error.
@@ -324,7 +356,8 @@
       co_await SleepFor(state->clock, std::chrono::milliseconds(20));
       continue;
     }
-    if (state->connections >= state->limits.max_connections) {
+    if (state->connections >= state->limits.max_connections &&
+        !state->CloseLongestWaiting()) {
       continue;
     }
     socket.set_option(tcp::no_delay(true), failure);
@@ -337,6 +370,16 @@
 
 }  // namespace
 
+bool Server::State::CloseLongestWaiting() {
+  for (Connection* connection : this->waiting) {
+    if (connection->socket.is_open()) {
+      connection->Close();
+      return true;
+    }
+  }
+  return false;
+}
+
 Server::Server(asio::io_context& io, Clock& clock, ServerLimits limits,
                Handler& handler)
     : state(std::make_shared<State>(io, clock, limits, handler)) {}
--- a/packages/http/src/http/server.h
+++ b/packages/http/src/http/server.h
@@ -50,7 +50,9 @@
 struct ServerLimits {
   std::uint32_t max_header_bytes = 16 * 1024;
   std::uint64_t max_body_bytes = 1024 * 1024;
-  std::size_t max_connections = 4096;  ///< More are closed without a response.
+  /// With more, the connection that has waited for the end of its request for
+  /// longest is closed; the new one, if all have a request in work.
+  std::size_t max_connections = 4096;
   Duration read_timeout = std::chrono::seconds(10);   ///< For a whole request.
   Duration idle_timeout = std::chrono::seconds(60);   ///< Between requests.
   Duration write_timeout = std::chrono::seconds(10);  ///< For one write.
