Refuse a request that its head excludes before its body

Callers saw: a request without a route or with an unknown key was answered only when its whole body had arrived, or with 408 if it never did. Clients without a key made the process hold their bodies until then.

Cause: route and key were checked by the exchange, which begins when the request is whole.

Change: CheckAccess decides from the head and the configuration; the exchange and the session use it. The session refuses only if the body has not arrived with the head, and only for good (401, 404): a refusal with a Retry-After can be untrue when the body is there, so it waits. "100 Continue" comes after the check. The record of a rejected request names its id if the head has arrived.

Evidence: early_refusal was red before (408 after the header timeout in place of 401 and 404). Green now; unit tests of the decision and the session.

--- a/packages/relay/src/relay/caller_session.cc
+++ b/packages/relay/src/relay/caller_session.cc
@@ -5,6 +5,7 @@
 #include <exception>
 #include <utility>
 
+#include "relay/callers/request_access.h"
 #include "relay/callers/request_cost.h"
 #include "relay/responses.h"
 
@@ -47,6 +48,7 @@
   this->parser.emplace();
   this->head.reset();
   this->head_bytes = 0;
+  this->head_checked = false;
   this->running_bytes = 0;
   this->request_begun = false;
   this->continue_sent = false;
@@ -176,6 +178,10 @@
       this->Reject(431, "a chunk line or the trailers are too long");
       break;
     }
+    const bool needs_input = consumed == 0 || failure || this->input.empty();
+    if (needs_input && this->RefuseByHead()) {
+      break;
+    }
     this->SendContinueIfExpected();
     if (consumed == 0 || failure) {
       break;
@@ -195,6 +201,24 @@
   return true;
 }
 
+bool CallerSession::RefuseByHead() {
+  if (!this->head || std::exchange(this->head_checked, true) ||
+      this->relay.active_configuration == nullptr ||
+      this->relay.configuration_unconfirmed) {
+    return false;
+  }
+  const http::Request request(*this->head, std::string());
+  const RequestAccess access =
+      CheckAccess(this->relay.protocol.ParseRequest(request),
+                  *this->relay.active_configuration);
+  // A refusal with a Retry-After can be untrue by the end of the request.
+  if (!access.refusal || access.refusal->retry_after) {
+    return false;
+  }
+  this->Reject(access.refusal->status, access.refusal->reason);
+  return true;
+}
+
 void CallerSession::SendContinueIfExpected() {
   if (!this->parser->is_header_done() || this->continue_sent) {
     return;
@@ -317,6 +341,7 @@
 void CallerSession::Reject(unsigned status, std::string_view why,
                            std::optional<Duration> retry_after) {
   const auto self = this->shared_from_this();
+  const std::string id = this->ArrivingRequestId();
   this->parser.reset();
   this->head.reset();
   this->input.clear();
@@ -324,9 +349,10 @@
   this->request_holding.Release();
   this->relay.metrics.Count("quetzalpost_requests_total",
                             std::to_string(status));
-  this->relay.events.Record(
-      EventId::kRelayRequestFinished,
-      {{"outcome", std::to_string(status)}, {"why", std::string(why)}});
+  this->relay.events.Record(EventId::kRelayRequestFinished,
+                            {{"request", id},
+                             {"outcome", std::to_string(status)},
+                             {"why", std::string(why)}});
   this->channel->Write(SerializeLocalReply({status, why, retry_after}, false));
   this->CloseAfterWrites(true);
 }
--- a/packages/relay/src/relay/caller_session.h
+++ b/packages/relay/src/relay/caller_session.h
@@ -98,6 +98,10 @@
   void ParseInput();
   /// Starts the exchange of a request that has arrived whole.
   void Dispatch();
+  /// Rejects a request that has not arrived whole if its head alone excludes it
+  /// under the current configuration, so that its body is not kept. False if it
+  /// can be served.
+  bool RefuseByHead();
   void SendContinueIfExpected();
   /// Sends an error response to input that has not become an exchange, then
   /// closes the connection.
@@ -145,6 +149,7 @@
   /// Head of the arriving request; empty until it is complete.
   std::optional<boost::beast::http::request_header<>> head;
   std::size_t head_bytes = 0;  ///< Memory of `head`.
+  bool head_checked = false;   ///< RefuseByHead has checked the request.
   /// Memory of the running request, without `input`.
   std::size_t running_bytes = 0;
   /// Part of it that is left once the server has read the request.
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -5,6 +5,7 @@
 #include <random>
 #include <utility>
 
+#include "relay/callers/request_access.h"
 #include "relay/hedging/exchange_hedge.h"
 #include "relay/log_text.h"
 #include "relay/request_fingerprint.h"
@@ -81,22 +82,17 @@
         {503, "no current configuration is known yet", milliseconds(500)});
     return false;
   }
-  const auto& configuration = this->active_configuration->configuration;
-  this->route = this->active_configuration->routes.Find(this->metadata.host,
-                                                        this->metadata.path);
-  if (this->route == nullptr) {
-    this->SendLocalReply({404, "no route matches", std::nullopt});
+  RequestAccess access =
+      CheckAccess(this->metadata, *this->active_configuration);
+  if (access.refusal) {
+    this->SendLocalReply(*access.refusal);
     return false;
   }
-  const bool key_is_known = this->CheckKey(configuration);
-  if (!key_is_known && configuration.has_unreadable_workspace) {
-    this->SendLocalReply(
-        {503, "the keys of a workspace are unreadable", milliseconds(500)});
-    return false;
-  }
-  if (!key_is_known) {
-    this->SendLocalReply({401, "the key is not known", std::nullopt});
-    return false;
+  this->route = std::move(access.route);
+  this->priority = this->route->priority;
+  if (access.workspace != nullptr) {
+    this->workspace = access.workspace->name;
+    this->priority = access.workspace->priority.value_or(this->priority);
   }
   this->fingerprint = MakeRequestFingerprint(this->workspace, this->request);
   this->crash_keys = {this->fingerprint};
@@ -141,20 +137,6 @@
   return end;
 }
 
-bool Exchange::CheckKey(const DeploymentConfiguration& configuration) {
-  this->priority = this->route->priority;
-  if (!configuration.has_workspaces) {
-    return true;
-  }
-  const auto found = configuration.workspaces_by_key.find(this->metadata.key);
-  if (found == configuration.workspaces_by_key.end()) {
-    return this->route->anonymous;
-  }
-  this->workspace = found->second.name;
-  this->priority = found->second.priority.value_or(this->priority);
-  return true;
-}
-
 void Exchange::ChooseService() {
   double total = 0;
   for (const auto& choice : this->route->services) {
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -91,10 +91,6 @@
   bool Admit();
   /// End of the response if the request is sent now.
   RequestEnd ExpectedEnd() const;
-  /// Looks up the API key of the request and sets `workspace` and `priority`.
-  /// False if the key is not known and the route does not admit anonymous
-  /// requests.
-  bool CheckKey(const DeploymentConfiguration& configuration);
   /// Chooses a service of the route at random, by weight; `service` stays null
   /// if there is none.
   void ChooseService();
