Divide the memory for running requests among workspaces

Callers saw: enough whole requests of one workspace filled the budget, and all others got 503 for as long as these ran.

Cause: running requests are pinned, and nothing divided the budget.

Change: WorkspaceMemory, dynamic thresholds after Choudhury and Hahne. A workspace can hold up to four times what is left, so one alone leaves a fifth to others. The only running request of a workspace is always allowed, and below four fifths of the budget nobody is refused for the share, so that in calm nothing changes. The refusal is 503 with Retry-After; the request has not run.

Evidence: workspace_share was red before (5 of 5 requests of another workspace refused with 503). Green now; unit and property tests of the decision.

--- a/packages/relay/src/relay/callers/caller_session_limits.cc
+++ b/packages/relay/src/relay/callers/caller_session_limits.cc
@@ -10,10 +10,6 @@
 
 namespace {
 
-/// Retry-After of a request that is refused for lack of memory. Longer than the
-/// linger timeout would only delay the caller; shorter, it would meet the same
-/// lack.
-constexpr Duration kMemoryRetryAfter = std::chrono::milliseconds(500);
 /// Capacity of the input buffer that an idle connection may keep, in bytes.
 constexpr std::size_t kKeptInputBytes = 1024;
 
--- a/packages/relay/src/relay/callers/request_cost.h
+++ b/packages/relay/src/relay/callers/request_cost.h
@@ -1,12 +1,19 @@
 #pragma once
 
 #include <boost/beast/http/fields.hpp>
+#include <chrono>
 #include <cstddef>
 
+#include "foundation/clock.h"
 #include "relay/deployment.h"
 
 namespace qp::relay {
 
+/// Retry-After of a request that is refused for lack of memory. Longer than the
+/// linger timeout would only delay the caller; shorter, it would meet the same
+/// lack.
+constexpr Duration kMemoryRetryAfter = std::chrono::milliseconds(500);
+
 /// Memory of parsed headers in bytes. Each header is an allocation of its own,
 /// so that a head of many short lines takes a multiple of its length.
 std::size_t HeaderBytes(const boost::beast::http::fields& headers);
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "relay/callers/request_access.h"
+#include "relay/callers/request_cost.h"
 #include "relay/hedging/exchange_hedge.h"
 #include "relay/log_text.h"
 #include "relay/request_fingerprint.h"
@@ -49,7 +50,8 @@
       sink(response_sink),
       arrived(at),
       deadline_timer(shared.timers),
-      progress_timer(shared.timers) {}
+      progress_timer(shared.timers),
+      memory_share(shared.workspace_memory) {}
 
 Exchange::~Exchange() { this->AbandonTry(); }
 
@@ -94,6 +96,9 @@
     this->workspace = access.workspace->name;
     this->priority = access.workspace->priority.value_or(this->priority);
   }
+  if (!this->AcquireMemory()) {
+    return false;
+  }
   this->fingerprint = MakeRequestFingerprint(this->workspace, this->request);
   this->crash_keys = {this->fingerprint};
   this->crash_keys.insert(this->crash_keys.end(),
@@ -124,6 +129,22 @@
   return true;
 }
 
+bool Exchange::AcquireMemory() {
+  const std::string& body = this->request.body();
+  const std::size_t bytes =
+      SendingBytes(HeaderBytes(this->request), body.capacity(), body.size());
+  if (this->memory_share.Acquire(this->workspace, bytes,
+                                 this->relay.input_budget.limit())) {
+    return true;
+  }
+  this->relay.refusals.Count("workspace_share");
+  this->relay.metrics.Count("quetzalpost_clients_refused_total",
+                            "workspace_share");
+  this->SendLocalReply(
+      {503, "the workspace uses its share of the memory", kMemoryRetryAfter});
+  return false;
+}
+
 RequestEnd Exchange::ExpectedEnd() const {
   RequestEnd end;
   end.deadline = this->deadline;
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -89,6 +89,9 @@
   /// Checks the request before a server is chosen. False if the request was
   /// answered with a local reply.
   bool Admit();
+  /// Takes the memory of the request from the share of its workspace. False if
+  /// the request was refused for lack of it.
+  bool AcquireMemory();
   /// End of the response if the request is sent now.
   RequestEnd ExpectedEnd() const;
   /// Chooses a service of the route at random, by weight; `service` stays null
@@ -310,6 +313,8 @@
   bool is_caller_retry = false;
   /// Zones that the first try may use; empty for all zones.
   std::vector<std::string> open_zones;
+  /// Memory of the request, for its workspace.
+  WorkspaceMemory::Share memory_share;
   /// Counts the tokens of the request for its workspace, once it is admitted.
   std::unique_ptr<admission::WorkspaceShares::Hold> admission_hold;
   /// Set while a server has the request and its response has not begun.
--- a/packages/relay/src/relay/relay.h
+++ b/packages/relay/src/relay/relay.h
@@ -11,6 +11,7 @@
 #include "relay/admission/model_admission.h"
 #include "relay/callers/client_limits.h"
 #include "relay/callers/input_budget.h"
+#include "relay/callers/workspace_memory.h"
 #include "relay/configuration_freshness.h"
 #include "relay/crash_probe.h"
 #include "relay/deployment.h"
@@ -88,6 +89,7 @@
   ResponseLimits response_limits;
   ClientLimits client_limits{kDefaultHeldBytes, kDefaultConnections};
   InputBudget input_budget{kDefaultHeldBytes};
+  WorkspaceMemory workspace_memory;
   RefusalLog refusals;
   /// Null if the process does not control engines.
   EngineControl* engines = nullptr;
