Let input behind a running request give way

Callers saw: callers that send 84 KB behind each of their running requests used up the budget, and all others got 503 for as long as these requests ran.

Cause: input behind a running request was pinned together with the request.

What is left of the input is freed when a connection is closing.

--- a/packages/relay/src/relay/caller_session.cc
+++ b/packages/relay/src/relay/caller_session.cc
@@ -19,6 +19,7 @@
       owner(session_owner),
       channel(std::make_shared<Channel>(std::move(socket))),
       request_holding(context.input_budget, *this),
+      pipelined_holding(context.input_budget, *this),
       answer_holding(context.input_budget, *this),
       read_timer(context.timers) {}
 
@@ -237,8 +238,7 @@
   http::Request request(std::move(*this->head), std::move(message.body()));
   this->running_bytes = SendingBytes(
       this->head_bytes, request.body().capacity(), request.body().size());
-  if (!this->request_holding.Pin(this->running_bytes +
-                                 this->input.capacity())) {
+  if (!this->request_holding.Pin(this->running_bytes)) {
     this->RefuseForMemory();
     return;
   }
@@ -301,6 +301,7 @@
   }
   this->exchange.reset();
   this->request_holding.Release();
+  this->pipelined_holding.Release();
   this->answer_holding.Release();
   this->channel->Close();
   this->owner.OnSessionClosed(this);
@@ -344,8 +345,6 @@
   const std::string id = this->ArrivingRequestId();
   this->parser.reset();
   this->head.reset();
-  this->input.clear();
-  this->input.shrink_to_fit();
   this->request_holding.Release();
   this->relay.metrics.Count("quetzalpost_requests_total",
                             std::to_string(status));
@@ -359,6 +358,9 @@
 
 void CallerSession::CloseAfterWrites(bool linger) {
   this->finishing = true;
+  this->input.clear();
+  this->input.shrink_to_fit();
+  this->pipelined_holding.Release();
   this->linger_after_writes = linger;
   this->channel->Resume();
   if (this->channel->unsent() == 0) {
--- a/packages/relay/src/relay/caller_session.h
+++ b/packages/relay/src/relay/caller_session.h
@@ -150,11 +150,12 @@
   std::optional<boost::beast::http::request_header<>> head;
   std::size_t head_bytes = 0;  ///< Memory of `head`.
   bool head_checked = false;   ///< RefuseByHead has checked the request.
-  /// Memory of the running request, without `input`.
+  /// Memory of the running request.
   std::size_t running_bytes = 0;
   /// Part of it that is left once the server has read the request.
   std::size_t kept_bytes = 0;
   InputHolding request_holding;
+  InputHolding pipelined_holding;  ///< Of `input` behind a running request.
   InputHolding answer_holding;  ///< Of the channel's write buffer.
   bool request_begun = false;
   bool continue_sent = false;
--- a/packages/relay/src/relay/callers/caller_session_limits.cc
+++ b/packages/relay/src/relay/callers/caller_session_limits.cc
@@ -28,16 +28,23 @@
     return;
   }
   Trim(this->input);
-  std::size_t bytes = this->running_bytes + this->head_bytes;
-  if (this->input.capacity() > kKeptInputBytes || this->request_begun) {
-    bytes += this->input.capacity();
-  }
+  const bool keeps_input = this->input.capacity() > kKeptInputBytes;
   if (this->exchange != nullptr) {
-    if (!this->request_holding.Pin(bytes)) {
+    // Smaller than at the start of the exchange, so that it succeeds.
+    (void)this->request_holding.Pin(this->running_bytes);
+    // Only the request itself is worth its place: input behind it would let
+    // callers with running requests use up the budget.
+    if (!this->pipelined_holding.Resize(keeps_input ? this->input.capacity()
+                                                    : 0)) {
       this->CloseLater("pipelined_input");
     }
     return;
   }
+  this->pipelined_holding.Release();
+  std::size_t bytes = this->head_bytes;
+  if (keeps_input || this->request_begun) {
+    bytes += this->input.capacity();
+  }
   if (this->request_begun && this->parser) {
     bytes += this->parser->get().body().capacity() +
              HeaderBytes(this->parser->get());
@@ -90,6 +97,8 @@
   }
   if (&holding == &this->answer_holding) {
     this->CloseLater("unread_response");
+  } else if (&holding == &this->pipelined_holding) {
+    this->CloseLater("pipelined_input");
   } else if (this->request_begun) {
     this->RefuseForMemory();
   } else {
--- a/packages/relay/tests/relay/callers/client_limits_test.cc
+++ b/packages/relay/tests/relay/callers/client_limits_test.cc
@@ -162,6 +162,28 @@
   CHECK(harness.relay.input_budget.held() <= 120'000);
 }
 
+// Guards against callers that use up the budget with what they send behind
+// their running requests, which cannot give way.
+TEST_CASE("Input behind a running request gives way to a request",
+          "[relay][client_limits]") {
+  RelayHarness harness;
+  harness.Configure({MakeRoute("/a/", RetryPolicy::kNever)});
+  harness.relay.input_budget.SetLimit(150'000);
+  auto& server = harness.AddServer("s1");
+  Peer& pipelining =
+      harness.Call(RelayHarness::Request("/a/1") + std::string(60'000, 'x'));
+  REQUIRE(harness.Gets(server, 1));
+  REQUIRE(harness.Until(
+      [&] { return harness.relay.input_budget.held() >= 60'000; }));
+  harness.Call(
+      "POST /a/2 HTTP/1.1\r\nHost: shop.example\r\nKey: k1\r\n"
+      "Content-Length: 50000\r\n\r\n" +
+      std::string(50'000, 'x'));
+  CHECK(harness.Gets(server, 2));
+  CHECK(harness.Until([&] { return pipelining.ended; }));
+  CHECK(pipelining.received.empty());
+}
+
 TEST_CASE("An idle connection gives way to a new one at the limit",
           "[relay][client_limits]") {
   RelayHarness harness;
