Bound the responses that all requests together buffer

Cause: a plain response is buffered until it is complete, up to 64 KB for a request, so that the request can still be tried elsewhere. With 1,700 connections that are 109 MB, and no bound counted them together.

Change: all buffered responses together take a quarter of held_bytes at most. Beyond that a response is passed on as it arrives, as longer ones are already; one that breaks off then ends without its last chunk. Responses of silent tries are not counted.

Evidence: the unit test fails without the bound (nothing arrives early); the effect on the peak of a process is not shown by itself.

--- a/packages/relay/src/relay/callers/client_limits.cc
+++ b/packages/relay/src/relay/callers/client_limits.cc
@@ -33,6 +33,8 @@
 /// budget, but the platform counts received bytes that are not yet read.
 constexpr std::uint64_t kSocketShareNumerator = 3;
 constexpr std::uint64_t kSocketShareDenominator = 4;
+/// Divisor of the held bytes for responses that are buffered.
+constexpr std::uint64_t kBufferedResponsesDivisor = 4;
 /// Below the minimum, a caller 10 ms away could not send a body of 4 MB within
 /// the header timeout of 3 s.
 constexpr std::uint64_t kMinSocketBufferBytes = 16 * 1024;
@@ -114,6 +116,8 @@
   if (configured.connections > 0) {
     limits.connections = configured.connections;
   }
+  limits.buffered_response_bytes =
+      limits.held_bytes / kBufferedResponsesDivisor;
   limits.socket_buffer_bytes =
       std::clamp(limits.held_bytes / limits.connections *
                      kSocketShareNumerator / kSocketShareDenominator,
--- a/packages/relay/src/relay/callers/client_limits.h
+++ b/packages/relay/src/relay/callers/client_limits.h
@@ -18,6 +18,8 @@
   /// that are not sent yet.
   std::size_t held_bytes = 0;
   std::size_t connections = 0;
+  /// Bytes of plain responses that are buffered until they are complete.
+  std::size_t buffered_response_bytes = 0;
   /// Bytes that the kernel buffers for one connection in each direction. 0
   /// leaves the size to the kernel.
   std::size_t socket_buffer_bytes = 0;
--- a/packages/relay/src/relay/entry_daemon.cc
+++ b/packages/relay/src/relay/entry_daemon.cc
@@ -114,6 +114,8 @@
         CombineMachineLimits(ReadMachineLimits(), this->settings.machine),
         this->settings.client_limits);
     this->relay.input_budget.SetLimit(this->relay.client_limits.held_bytes);
+    this->relay.buffered_responses.SetLimit(
+        this->relay.client_limits.buffered_response_bytes);
     this->relay.hedging.SetSettings(this->settings.hedging);
     this->relay.configuration_freshness.SetBound(
         this->settings.configuration_bound);
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -51,6 +51,7 @@
       arrived(at),
       deadline_timer(shared.timers),
       progress_timer(shared.timers),
+      body_part(shared.buffered_responses),
       memory_share(shared.workspace_memory) {}
 
 Exchange::~Exchange() { this->AbandonTry(); }
@@ -254,6 +255,7 @@
   this->lost_engines.clear();
   this->head.reset();
   this->body.clear();
+  this->body_part.Release();
   this->splitter.Reset();
   this->reading_paused = false;
 
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -293,7 +293,8 @@
   std::unique_ptr<ChainLoad> load;  ///< Null without a chain.
   TimePoint try_started_at{};
   std::optional<ResponseHead> head;
-  std::string body;  ///< Buffered body of a plain response.
+  std::string body;                   ///< Buffered body of a plain response.
+  BufferedResponses::Part body_part;  ///< Memory of `body`.
 
   std::unique_ptr<Hedge> hedge;  ///< Null if the request can have none.
   std::unique_ptr<SilentTry> silent_try;  ///< Null if there is none.
--- a/packages/relay/src/relay/exchange_responses.cc
+++ b/packages/relay/src/relay/exchange_responses.cc
@@ -156,9 +156,11 @@
     this->sink.Write(SerializeChunk(bytes));
   } else {
     this->body.append(bytes);
-    if (this->body.size() > this->relay.response_limits.buffered_bytes) {
+    if (this->body.size() > this->relay.response_limits.buffered_bytes ||
+        !this->body_part.Resize(this->body.capacity())) {
       this->BeginResponse();
       this->sink.Write(SerializeChunk(std::exchange(this->body, {})));
+      this->body_part.Release();
     }
   }
   this->ApplyBackpressure();
--- a/packages/relay/src/relay/relay.h
+++ b/packages/relay/src/relay/relay.h
@@ -9,6 +9,7 @@
 #include "foundation/asio.h"
 #include "foundation/event.h"
 #include "relay/admission/model_admission.h"
+#include "relay/callers/buffered_responses.h"
 #include "relay/callers/client_limits.h"
 #include "relay/callers/input_budget.h"
 #include "relay/callers/workspace_memory.h"
@@ -37,6 +38,7 @@
 /// Limits until ClientLimits are set; those of the smallest VM of the platform.
 constexpr std::size_t kDefaultHeldBytes = 37 * 1024 * 1024;
 constexpr std::size_t kDefaultConnections = 1700;
+constexpr std::size_t kDefaultBufferedResponses = 9 * 1024 * 1024;
 
 /// State shared by all requests of a process. Used on the request thread only.
 struct RelayContext {
@@ -90,6 +92,7 @@
   ClientLimits client_limits{kDefaultHeldBytes, kDefaultConnections};
   InputBudget input_budget{kDefaultHeldBytes};
   WorkspaceMemory workspace_memory;
+  BufferedResponses buffered_responses{kDefaultBufferedResponses};
   RefusalLog refusals;
   /// Null if the process does not control engines.
   EngineControl* engines = nullptr;
--- a/packages/relay/tests/relay/callers/client_limits_test.cc
+++ b/packages/relay/tests/relay/callers/client_limits_test.cc
@@ -37,6 +37,7 @@
   };
   CHECK(compute(37 << 20, 1700).socket_buffer_bytes == 17'115);
   CHECK(compute(37 << 20, 1700).backlog == 850);
+  CHECK(compute(37 << 20, 1700).buffered_response_bytes == 37 << 18);
   CHECK(compute(1 << 20, 1700).socket_buffer_bytes == 16 * 1024);
   CHECK(compute(1 << 30, 16).socket_buffer_bytes == 256 * 1024);
   CHECK(compute(1 << 30, 16).backlog == 128);
@@ -184,6 +185,41 @@
   CHECK(pipelining.received.empty());
 }
 
+// Guards against responses that slow servers keep incomplete: each was bounded
+// by itself, and all together were not.
+TEST_CASE("A response is passed on early if too much is buffered",
+          "[relay][client_limits]") {
+  RelayHarness harness;
+  harness.Configure({MakeRoute("/a/", RetryPolicy::kAlways)});
+  constexpr std::size_t kLimit = 70'000;
+  harness.relay.buffered_responses.SetLimit(kLimit);
+  auto& server = harness.AddServer("s1");
+  const auto part = [](std::size_t length, std::size_t sent) {
+    return "HTTP/1.1 200 OK\r\nAttempt: a1\r\nSignature: s\r\n"
+           "Content-Length: " +
+           std::to_string(length) + "\r\n\r\n" + std::string(sent, 'x');
+  };
+  Peer& first = harness.Call(RelayHarness::Request("/a/1"));
+  REQUIRE(harness.Gets(server, 1));
+  Peer& first_server = server.last();
+  first_server.channel->Write(part(40'000, 20'000));
+  REQUIRE(harness.Until(
+      [&] { return harness.relay.buffered_responses.held() >= 20'000; }));
+  Peer& second = harness.Call(RelayHarness::Request("/a/2"));
+  REQUIRE(harness.Gets(server, 2));
+  server.last().channel->Write(part(60'000, 55'000));
+  REQUIRE(harness.Receives(second, "Transfer-Encoding: chunked"));
+  CHECK(first.received.empty());
+  CHECK(harness.relay.buffered_responses.held() <= kLimit);
+  // The first response is whole before it is passed on, with its length.
+  first_server.channel->Write(std::string(20'000, 'x'));
+  CHECK(harness.Receives(first, "Content-Length: 40000"));
+  // What was passed on early and breaks off must not look complete.
+  server.last().channel->Close();
+  CHECK(harness.Until([&] { return second.ended; }));
+  CHECK(second.received.find("\r\n0\r\n\r\n") == std::string::npos);
+}
+
 TEST_CASE("An idle connection gives way to a new one at the limit",
           "[relay][client_limits]") {
   RelayHarness harness;
