Serve requests behind one that was refused by its head

Callers would have seen: the refusal before the end of the body closed the connection, and requests that were pipelined behind it were lost. Two cases of stop_log_test failed (a request to an unknown route whose head and body came in two reads).

Change: the refusal is sent with the connection kept open, and the rest of the body is read and discarded within the same timeout and limits. A caller that waits for "100 Continue" may leave out its body, so that its connection is closed as before. A refused request gets no second response, whatever follows.

Evidence: stop_log_test is unchanged and green; unit tests of a request behind a refused one, and of the timeout, a broken rest and lack of memory. The whole relay program passes (346 cases).

--- a/packages/relay/src/relay/caller_session.cc
+++ b/packages/relay/src/relay/caller_session.cc
@@ -50,6 +50,7 @@
   this->head.reset();
   this->head_bytes = 0;
   this->head_checked = false;
+  this->refused = false;
   this->running_bytes = 0;
   this->request_begun = false;
   this->continue_sent = false;
@@ -167,8 +168,15 @@
       break;
     }
     const bool head_taken = this->TakeHead();
+    if (this->refused) {
+      this->DiscardBody();
+    }
     if (this->parser->is_done()) {
-      this->Dispatch();
+      if (this->refused) {
+        this->PrepareForRequest();
+      } else {
+        this->Dispatch();
+      }
       continue;
     }
     if (head_taken && !this->input.empty()) {
@@ -216,17 +224,41 @@
   if (!access.refusal || access.refusal->retry_after) {
     return false;
   }
-  this->Reject(access.refusal->status, access.refusal->reason);
+  const LocalReply& refusal = *access.refusal;
+  // A caller that waits for "100 Continue" may leave out the body.
+  if (!request.keep_alive() || this->relay.draining ||
+      this->ExpectsContinue()) {
+    this->Reject(refusal.status, refusal.reason);
+    return true;
+  }
+  this->RecordRejection(refusal.status, refusal.reason);
+  this->channel->Write(SerializeLocalReply(refusal, true));
+  this->UpdateAnswerHolding();
+  this->refused = true;
+  this->has_served = true;
+  this->head.emplace();
+  this->head_bytes = 0;
+  this->DiscardBody();
   return true;
 }
 
+void CallerSession::DiscardBody() {
+  std::string& body = this->parser->get().body();
+  body.clear();
+  body.shrink_to_fit();
+}
+
+bool CallerSession::ExpectsContinue() const {
+  const auto expect = this->head->find(beast::http::field::expect);
+  return expect != this->head->end() &&
+         beast::iequals(expect->value(), "100-continue");
+}
+
 void CallerSession::SendContinueIfExpected() {
   if (!this->parser->is_header_done() || this->continue_sent) {
     return;
   }
-  const auto expect = this->head->find(beast::http::field::expect);
-  if (expect != this->head->end() &&
-      beast::iequals(expect->value(), "100-continue")) {
+  if (this->ExpectsContinue()) {
     this->continue_sent = true;
     this->channel->Write("HTTP/1.1 100 Continue\r\n\r\n");
   }
@@ -313,7 +345,7 @@
   }
   if (this->exchange != nullptr) {
     this->exchange->CancelForStop();
-  } else if (this->request_begun && !this->finishing) {
+  } else if (this->request_begun && !this->finishing && !this->refused) {
     this->RecordCutRequest(
         "the process stopped before the request had arrived whole");
   } else if (!this->finishing &&
@@ -342,18 +374,24 @@
 void CallerSession::Reject(unsigned status, std::string_view why,
                            std::optional<Duration> retry_after) {
   const auto self = this->shared_from_this();
-  const std::string id = this->ArrivingRequestId();
+  if (!this->refused) {  // Otherwise its response has been written.
+    this->RecordRejection(status, why);
+    this->channel->Write(
+        SerializeLocalReply({status, why, retry_after}, false));
+  }
   this->parser.reset();
   this->head.reset();
   this->request_holding.Release();
+  this->CloseAfterWrites(true);
+}
+
+void CallerSession::RecordRejection(unsigned status, std::string_view why) {
   this->relay.metrics.Count("quetzalpost_requests_total",
                             std::to_string(status));
   this->relay.events.Record(EventId::kRelayRequestFinished,
-                            {{"request", id},
+                            {{"request", this->ArrivingRequestId()},
                              {"outcome", std::to_string(status)},
                              {"why", std::string(why)}});
-  this->channel->Write(SerializeLocalReply({status, why, retry_after}, false));
-  this->CloseAfterWrites(true);
 }
 
 void CallerSession::CloseAfterWrites(bool linger) {
--- a/packages/relay/src/relay/caller_session.h
+++ b/packages/relay/src/relay/caller_session.h
@@ -98,15 +98,21 @@
   void ParseInput();
   /// Starts the exchange of a request that has arrived whole.
   void Dispatch();
-  /// Rejects a request that has not arrived whole if its head alone excludes it
-  /// under the current configuration, so that its body is not kept. False if it
-  /// can be served.
+  /// Refuses a request that has not arrived whole if its head alone excludes it
+  /// under the current configuration, so that its body is not kept. The rest of
+  /// it is read and discarded, so that requests behind it can be served. False
+  /// if it can be served.
   bool RefuseByHead();
+  /// Frees what has arrived of the body of a refused request.
+  void DiscardBody();
+  bool ExpectsContinue() const;
   void SendContinueIfExpected();
   /// Sends an error response to input that has not become an exchange, then
   /// closes the connection.
   void Reject(unsigned status, std::string_view why,
               std::optional<Duration> retry_after = std::nullopt);
+  /// Counts and logs a request that is answered without an exchange.
+  void RecordRejection(unsigned status, std::string_view why);
   /// Refuses the arriving request, which has not run, for lack of memory.
   void RefuseForMemory();
   /// Counts a refused client.
@@ -150,13 +156,14 @@
   std::optional<boost::beast::http::request_header<>> head;
   std::size_t head_bytes = 0;  ///< Memory of `head`.
   bool head_checked = false;   ///< RefuseByHead has checked the request.
+  bool refused = false;        ///< RefuseByHead has refused the request.
   /// Memory of the running request.
   std::size_t running_bytes = 0;
   /// Part of it that is left once the server has read the request.
   std::size_t kept_bytes = 0;
   InputHolding request_holding;
   InputHolding pipelined_holding;  ///< Of `input` behind a running request.
-  InputHolding answer_holding;  ///< Of the channel's write buffer.
+  InputHolding answer_holding;     ///< Of the channel's write buffer.
   bool request_begun = false;
   bool continue_sent = false;
   bool keep_alive = true;
--- a/packages/relay/tests/relay/callers/request_access_test.cc
+++ b/packages/relay/tests/relay/callers/request_access_test.cc
@@ -76,6 +76,51 @@
   }
 }
 
+// Guards against requests that are lost behind a refused one.
+TEST_CASE("A request behind a refused one is served",
+          "[relay][request_access]") {
+  RelayHarness harness;
+  harness.Configure({MakeRoute("/a/", RetryPolicy::kNever)});
+  auto& server = harness.AddServer("s1");
+  const std::string body(1000, 'x');
+  Peer& caller = harness.Call(
+      "POST /b/1 HTTP/1.1\r\nHost: shop.example\r\nKey: k1\r\n"
+      "Content-Length: 1000\r\n\r\n" +
+      body.substr(0, 10));
+  REQUIRE(harness.Receives(caller, "HTTP/1.1 404"));
+  CHECK(harness.relay.input_budget.held() < 200);
+  caller.channel->Write(body.substr(10) + RelayHarness::Request("/a/2"));
+  CHECK(harness.Gets(server, 1));
+  CHECK_FALSE(caller.ended);
+}
+
+TEST_CASE("A refused request that does not end gets no second response",
+          "[relay][request_access]") {
+  RelayHarness harness;
+  harness.Configure({MakeRoute("/a/", RetryPolicy::kNever)});
+  Peer& caller = harness.Call(
+      "POST /b/1 HTTP/1.1\r\nHost: shop.example\r\nKey: k1\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n");
+  REQUIRE(harness.Receives(caller, "HTTP/1.1 404"));
+  SECTION("at the timeout") {
+    for (int step = 0; step < 50; ++step) {
+      harness.runtime.Advance(std::chrono::milliseconds(100));
+    }
+  }
+  SECTION("when the rest can't be read") {
+    caller.channel->Write("no chunk\r\n");
+  }
+  SECTION("when it makes room") {
+    harness.relay.input_budget.SetLimit(1);
+    caller.channel->Write("4\r\nbo");
+  }
+  CHECK(harness.Until([&] {
+    harness.runtime.Advance(std::chrono::milliseconds(100));
+    return caller.ended;
+  }));
+  CHECK(caller.received.rfind("HTTP/1.1") == 0);
+}
+
 TEST_CASE("A request is not refused by its head without a configuration",
           "[relay][request_access]") {
   RelayHarness harness;
