--- a/packages/relay/src/relay/caller_listener.cc
+++ b/packages/relay/src/relay/caller_listener.cc
@@ -62,8 +62,9 @@
                             ignored);
   // Limits what waits to be sent, and leaves the kernel to choose how much is
   // on the way.
+  const int unsent_bytes = bytes / 2;
   ::setsockopt(this->acceptor.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
-               &bytes, sizeof(bytes));
+               &unsent_bytes, sizeof(unsent_bytes));
 }
 
 void CallerListener::Accept() {
--- a/packages/relay/src/relay/callers/client_limits.h
+++ b/packages/relay/src/relay/callers/client_limits.h
@@ -20,8 +20,8 @@
   std::size_t connections = 0;
   /// Bytes of plain responses that are buffered until they are complete.
   std::size_t buffered_response_bytes = 0;
-  /// Bytes that the kernel buffers for one connection in each direction. 0
-  /// leaves the size to the kernel.
+  /// Bytes that the kernel receives for one connection before they are read.
+  /// Half as many can wait in the kernel to be sent. 0 leaves both to it.
   std::size_t socket_buffer_bytes = 0;
   /// Connections that wait to be accepted. 0 stands for the maximum of the
   /// operating system.
