Conclude the end of a connection from both directions

Cause: the operating system reports a reset once. Channel::Flush met it with a write; the reads after that returned what had arrived and then 0 bytes, like an orderly close, and UpstreamCall took that for the end of the response. Streams without a length ended as complete in the same way.

Change: Channel, which knows of both directions, reports an orderly close only if no write has failed. That covers each reader: plain responses, streams, silent and hedged tries, discarded responses, callers. A connection with a failed write doesn't enter the pool. What is complete by its length or its last chunk is passed on as before, and so is a response whose server ends its own direction and reads on.

--- a/packages/relay/src/relay/caller_session.cc
+++ b/packages/relay/src/relay/caller_session.cc
@@ -423,9 +423,9 @@
 
 void CallerSession::OnClose(const boost::system::error_code& failure) {
   const auto self = this->shared_from_this();
-  const auto& cause = failure ? failure : this->channel->write_failure();
-  const std::string why = cause ? "the connection failed: " + cause.message()
-                                : "the caller closed the connection";
+  const std::string why = failure
+                              ? "the connection failed: " + failure.message()
+                              : "the caller closed the connection";
   if (this->exchange != nullptr) {
     this->exchange->Cancel(why);
   }
--- a/packages/relay/src/relay/channel.cc
+++ b/packages/relay/src/relay/channel.cc
@@ -87,7 +87,7 @@
     return;
   }
   if (failure) {
-    this->Fail(failure);
+    this->End(failure);
     return;
   }
   auto& buffer = ReadBuffer();
@@ -99,11 +99,13 @@
     return;
   }
   if (result == asio::error::eof) {
-    this->Fail({});
+    // The operating system reports a reset or a timeout only once. If a write
+    // has met it, the reads after that end like an orderly close.
+    this->End(this->failed_write);
     return;
   }
   if (result) {
-    this->Fail(result);
+    this->End(result);
     return;
   }
   const auto self = this->shared_from_this();
@@ -131,8 +133,7 @@
       asio::buffer(bytes.data(), bytes.size()), failure);
   this->total_written += count;
   if (failure && failure != asio::error::would_block) {
-    // The next read ends the channel.
-    this->failed_write = failure;
+    this->HandleWriteFailure(failure);
     return;
   }
   if (count < bytes.size()) {
@@ -155,8 +156,7 @@
   this->total_written += count;
   this->flushed_bytes = count;
   if (failure && failure != asio::error::would_block) {
-    // The next read ends the channel.
-    this->failed_write = failure;
+    this->HandleWriteFailure(failure);
     this->ClearPending();
     return;
   }
@@ -197,7 +197,7 @@
   this->total_written += count;
   this->flushed_bytes += count;
   if (failure && failure != asio::error::would_block) {
-    this->failed_write = failure;
+    this->HandleWriteFailure(failure);
     return;
   }
   if (this->unsent() > 0) {
@@ -229,7 +229,15 @@
   this->socket.close(ignored);
 }
 
-void Channel::Fail(const error_code& failure) {
+void Channel::HandleWriteFailure(const error_code& failure) {
+  // What the peer sent before is still read; the read after that ends the
+  // channel.
+  if (!this->failed_write) {
+    this->failed_write = failure;
+  }
+}
+
+void Channel::End(const error_code& failure) {
   const auto self = this->shared_from_this();
   if (this->current_reader != nullptr) {
     this->current_reader->OnClose(failure);
--- a/packages/relay/src/relay/channel.h
+++ b/packages/relay/src/relay/channel.h
@@ -17,8 +17,9 @@
   virtual void OnBytes(std::string_view bytes) = 0;
   /// Called when all buffered bytes have been handed to the operating system.
   virtual void OnWritten() {}
-  /// Called when the peer has closed the connection (`failure` is empty) or the
-  /// connection has failed.
+  /// Called when the connection has ended. `failure` is empty only if the peer
+  /// has closed it, all that the peer sent was read, and no write has failed.
+  /// What ends with its connection is complete only then.
   virtual void OnClose(const boost::system::error_code& failure) = 0;
 };
 
@@ -63,8 +64,7 @@
   std::size_t buffer_bytes() const { return this->pending.capacity(); }
   /// Bytes handed to the operating system so far.
   std::uint64_t written() const { return this->total_written; }
-  /// Failure of the last write that failed; none if all have succeeded. A read
-  /// that follows a failed write can end like an orderly close by the peer.
+  /// Failure of the first write that failed; none if all have succeeded.
   const boost::system::error_code& write_failure() const {
     return this->failed_write;
   }
@@ -76,7 +76,8 @@
   /// Empties the write buffer and frees its memory.
   void ClearPending();
   void Flush();
-  void Fail(const boost::system::error_code& failure);
+  void HandleWriteFailure(const boost::system::error_code& failure);
+  void End(const boost::system::error_code& failure);
 
   Socket socket;
   ChannelReader* current_reader = nullptr;
--- a/packages/relay/src/relay/upstream_call.cc
+++ b/packages/relay/src/relay/upstream_call.cc
@@ -261,7 +261,9 @@
   this->discarding.reset();
   CallListener* call_listener = std::exchange(this->listener, nullptr);
   const bool clean = this->parser->keep_alive() && this->input.empty() &&
-                     this->channel->unsent() == 0 && this->channel->is_open();
+                     this->channel->unsent() == 0 &&
+                     !this->channel->write_failure() &&
+                     this->channel->is_open();
   if (clean) {
     this->pool.Release(*this->server, std::exchange(this->channel, nullptr),
                        this->keep_alive);
@@ -275,6 +277,7 @@
 
 void UpstreamCall::OnClose(const boost::system::error_code& failure) {
   const auto self = this->shared_from_this();
+  // Only an orderly end of the connection can be the end of a response.
   if (!failure && this->parser && this->head_handled && !this->mismatched &&
       this->parser->need_eof()) {
     boost::system::error_code result;
