Keep loops running after an exception, and check entries against the model

Cause: ParseServer took the entry for an engine; PlanLayers threw std::out_of_range; LayerController::Run was started with asio::detached, which drops the exception. The loop had ended without a line, and the process renewed the lease all the same.

Change: - Tasks that nobody awaits start with Spawn or SpawnLoop (foundation/spawn.h): a line (1006), a counter, and loops run again after a second.

--- a/packages/apps/quetzalpostd/entry.cc
+++ b/packages/apps/quetzalpostd/entry.cc
@@ -12,6 +12,7 @@
 #include <functional>
 
 #include "foundation/caf_clock.h"
+#include "foundation/spawn.h"
 #include "foundation/stdout_appender.h"
 #include "foundation/timeline.h"
 #include "foundation/wait.h"
@@ -105,7 +106,8 @@
     return ReportFailure(started.error(), kExitStart);
   }
   SettingsWatch watch(path, text, daemon);
-  asio::co_spawn(io, watch.Run(clock), asio::detached);
+  SpawnLoop(io, clock, "settings.watch",
+            [&watch, &clock] { return watch.Run(clock); });
   asio::signal_set stop(io, SIGTERM, SIGINT);
   stop.async_wait([&daemon](boost::system::error_code failure, int) {
     if (!failure) {
--- a/packages/calls/src/calls/claim_protocol.cc
+++ b/packages/calls/src/calls/claim_protocol.cc
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "foundation/spawn.h"
 #include "foundation/wait.h"
 
 namespace qp {
@@ -65,7 +66,8 @@
   auto claim = std::make_shared<Claim>(std::move(key), this->GenerateNonce(),
                                        std::move(digest));
   auto attempt = std::make_shared<Attempt>(claim, io);
-  asio::co_spawn(executor, this->RunAttempt(attempt), asio::detached);
+  SpawnLoop(executor, this->clock, "claim.attempt",
+            [this, attempt] { return this->RunAttempt(attempt); });
   const auto until = std::min(deadline, this->clock.Now() + kClaimTimeout);
   while (!attempt->decision && this->clock.Now() < until) {
     co_await attempt->decided.WaitFor(this->clock, until - this->clock.Now());
@@ -225,7 +227,8 @@
     return false;
   }
   ++this->pending_write_count;
-  asio::co_spawn(executor, this->WriteRelease(claim), asio::detached);
+  SpawnLoop(executor, this->clock, "claim.release",
+            [this, claim] { return this->WriteRelease(claim); });
   return true;
 }
 
@@ -233,9 +236,10 @@
                              StoredResponse response,
                              const asio::any_io_executor& executor) {
   ++this->pending_write_count;
-  asio::co_spawn(executor,
-                 this->StoreResponse(std::move(claim), std::move(response)),
-                 asio::detached);
+  SpawnLoop(executor, this->clock, "claim.complete",
+            [this, done = std::move(claim), answer = std::move(response)] {
+              return this->StoreResponse(done, answer);
+            });
 }
 
 Task<void> ClaimProtocol::WriteRelease(std::shared_ptr<Claim> claim) {
--- a/packages/daemon/src/daemon/backend_controller.cc
+++ b/packages/daemon/src/daemon/backend_controller.cc
@@ -5,6 +5,7 @@
 #include "cluster/cluster_node.h"
 #include "daemon/backend_status.h"
 #include "daemon/cluster_handle.h"
+#include "foundation/spawn.h"
 #include "foundation/wait.h"
 #include "http/client.h"
 
@@ -128,7 +129,7 @@
       // A slow server must not hold up the observation of others.
       if (this->assigned.contains(vm.name) &&
           this->being_observed.insert(vm.name).second) {
-        asio::co_spawn(this->io, this->ObserveOne(vm), asio::detached);
+        Spawn(this->io, "backends.observe_one", this->ObserveOne(vm));
       }
     }
     co_await SleepFor(this->clock, kObserveInterval);
@@ -140,14 +141,19 @@
 }
 
 Task<void> BackendController::ObserveOne(Vm vm) {
-  auto response = co_await this->client.Send(
-      vm.address, http::MakeRequest(http::Verb::get, StatusTarget(vm.role)),
-      kStatusBound);
-  this->being_observed.erase(vm.name);
   std::optional<Observation> observation;
-  if (response && response.value().result() == http::Status::ok) {
-    observation = ObservationOf(vm, response.value().body());
+  try {
+    auto response = co_await this->client.Send(
+        vm.address, http::MakeRequest(http::Verb::get, StatusTarget(vm.role)),
+        kStatusBound);
+    if (response && response.value().result() == http::Status::ok) {
+      observation = ObservationOf(vm, response.value().body());
+    }
+  } catch (...) {
+    this->being_observed.erase(vm.name);
+    throw;
   }
+  this->being_observed.erase(vm.name);
   if (observation) {
     this->failures[vm.name] = 0;
     this->last_answers[vm.name] = *observation;
--- a/packages/daemon/src/daemon/daemon.cc
+++ b/packages/daemon/src/daemon/daemon.cc
@@ -15,6 +15,7 @@
 #include "daemon/placement_controller.h"
 #include "daemon/readiness_controller.h"
 #include "daemon/spending_controller.h"
+#include "foundation/spawn.h"
 #include "foundation/timeline.h"
 #include "foundation/wait.h"
 #include "gateway/caller_api.h"
@@ -82,22 +83,37 @@
 
 }  // namespace
 
-struct Daemon::State : std::enable_shared_from_this<Daemon::State> {
+struct Daemon::State : TaskFailureListener,
+                       std::enable_shared_from_this<Daemon::State> {
   State(DaemonSettings daemon_settings, std::unique_ptr<NngLink> peer_link,
         asio::io_context& context, caf::actor_system& actors, Clock& time,
         std::uint64_t seed);
+  ~State() override { SetTaskFailureListener(this->io, nullptr); }
+  State(const State&) = delete;
+  State& operator=(const State&) = delete;
 
   Result<void> Start();
   void StartControllers();
+  /// Starts RunDrain unless it runs.
+  void BeginDrain();
   /// Keeps admission in step with the configuration and the shares.
   Task<void> UpdateAdmission();
   void ReportDemand(const Configuration& configuration);
   Task<void> RunDrain();
   std::size_t WorkInFlight() const;
 
-  template <class Loop>
-  void Spawn(Loop loop) {
-    asio::co_spawn(this->io, std::move(loop), asio::detached);
+  /// Runs a member function as a loop of the process.
+  template <class Object>
+  void RunLoop(std::string name, Object& object, Task<void> (Object::*run)()) {
+    SpawnLoop(this->io, this->clock, std::move(name),
+              [&object, run] { return (object.*run)(); });
+  }
+  void OnTaskFailed(std::string_view task, std::string_view detail) override {
+    this->metrics.Increment("quetzalpost_task_failures_total",
+                            {{"task", std::string(task)}});
+    this->timeline.Record(
+        EventId::kTaskFailed,
+        {{"task", std::string(task)}, {"detail", std::string(detail)}});
   }
 
   DaemonSettings settings;
@@ -198,8 +214,7 @@
                  this->random()),
       operator_service({time, this->blackboard, this->store, this->usage,
                         this->cluster, this->timeline, this->metrics,
-                        this->settings.node,
-                        [this] { this->Spawn(this->RunDrain()); }}),
+                        this->settings.node, [this] { this->BeginDrain(); }}),
       operator_api(this->operator_service, this->settings.operator_token_sha256,
                    this->timeline, this->random()),
       caller_server(context, time, http::ServerLimits{}, this->caller_api),
@@ -214,19 +229,27 @@
                         {{"callers", this->settings.caller_address},
                          {"operators", this->settings.operator_address},
                          {"peers", this->settings.peer_address}});
+  SetTaskFailureListener(this->io, this);
   this->StartControllers();
   return Ok();
 }
 
 void Daemon::State::StartControllers() {
-  this->Spawn(this->configuration_controller.Poll());
-  this->Spawn(this->readiness_controller.Run());
-  this->Spawn(this->backend_controller.PollList());
-  this->Spawn(this->backend_controller.Observe());
-  this->Spawn(this->backend_controller.Publish());
-  this->Spawn(this->spending_controller.Run());
-  this->Spawn(this->placement_controller.Run());
-  this->Spawn(this->UpdateAdmission());
+  this->RunLoop("configuration.poll", this->configuration_controller,
+                &ConfigurationController::Poll);
+  this->RunLoop("readiness.run", this->readiness_controller,
+                &ReadinessController::Run);
+  this->RunLoop("backends.poll_list", this->backend_controller,
+                &BackendController::PollList);
+  this->RunLoop("backends.observe", this->backend_controller,
+                &BackendController::Observe);
+  this->RunLoop("backends.publish", this->backend_controller,
+                &BackendController::Publish);
+  this->RunLoop("spending.run", this->spending_controller,
+                &SpendingController::Run);
+  this->RunLoop("placement.run", this->placement_controller,
+                &PlacementController::Run);
+  this->RunLoop("admission.update", *this, &State::UpdateAdmission);
 }
 
 Task<void> Daemon::State::UpdateAdmission() {
@@ -260,12 +283,15 @@
          this->plain.pending_claim_writes();
 }
 
-Task<void> Daemon::State::RunDrain() {
-  if (std::exchange(this->draining, true)) {
-    co_return;
+void Daemon::State::BeginDrain() {
+  if (!std::exchange(this->draining, true)) {
+    // The daemon outlives its own drain even if its owner lets go of it.
+    SpawnLoop(this->io, this->clock, "drain",
+              [self = this->shared_from_this()] { return self->RunDrain(); });
   }
-  // The daemon outlives its own drain even if its owner lets go of it.
-  auto self = this->shared_from_this();
+}
+
+Task<void> Daemon::State::RunDrain() {
   this->timeline.Record(EventId::kDrainStarted, {});
   this->readiness_controller.BeginDrain();
   // The balancer still sends requests until it has seen the change.
@@ -307,6 +333,6 @@
 
 Result<void> Daemon::Start() { return this->state->Start(); }
 
-void Daemon::BeginDrain() { this->state->Spawn(this->state->RunDrain()); }
+void Daemon::BeginDrain() { this->state->BeginDrain(); }
 
 }  // namespace qp
--- a/packages/daemon/src/daemon/placement_controller.cc
+++ b/packages/daemon/src/daemon/placement_controller.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
+#include "foundation/spawn.h"
 #include "foundation/wait.h"
 #include "http/client.h"
 #include "storage/lease.h"
@@ -96,13 +97,25 @@
         [&](const Backend& backend) { return backend.name == order.engine; });
     if (engine != engines.end() &&
         this->being_ordered.insert(order.engine).second) {
-      asio::co_spawn(this->io, this->SendOrder(*engine, order), asio::detached);
+      Spawn(this->io, "placement.order", this->SendOrder(*engine, order));
     }
   }
 }
 
 Task<void> PlacementController::SendOrder(Backend engine,
                                           policy::LayerAssignment assignment) {
+  const std::string name = assignment.engine;
+  try {
+    co_await this->SendFencedOrder(std::move(engine), std::move(assignment));
+  } catch (...) {
+    this->being_ordered.erase(name);
+    throw;
+  }
+  this->being_ordered.erase(name);
+}
+
+Task<void> PlacementController::SendFencedOrder(
+    Backend engine, policy::LayerAssignment assignment) {
   // Asked right before the write: the coroutine may have waited.
   const auto fence = this->lease.FencingNumber();
   if (fence) {
@@ -120,7 +133,6 @@
       this->events.Record(EventId::kOrderRefused, std::move(refused));
     }
   }
-  this->being_ordered.erase(assignment.engine);
 }
 
 }  // namespace qp
--- a/packages/daemon/src/daemon/placement_controller.h
+++ b/packages/daemon/src/daemon/placement_controller.h
@@ -37,6 +37,9 @@
  private:
   void Decide();
   Task<void> SendOrder(Backend engine, policy::LayerAssignment assignment);
+  /// Sends the order if this daemon holds the lease.
+  Task<void> SendFencedOrder(Backend engine,
+                             policy::LayerAssignment assignment);
 
   asio::io_context& io;
   Clock& clock;
--- a/packages/foundation/src/foundation/event.cc
+++ b/packages/foundation/src/foundation/event.cc
@@ -18,6 +18,9 @@
               "A planned stop has begun; work in flight goes on."},
     EventInfo{EventId::kDaemonStopped, "daemon_stopped", Severity::kInfo,
               "All work in flight has ended and the daemon leaves."},
+    EventInfo{EventId::kTaskFailed, "task_failed", Severity::kError,
+              "An exception left a task of the process, which is an error in "
+              "the program; loops run again after a second."},
     EventInfo{EventId::kRequestRefused, "request_refused", Severity::kInfo,
               "A request was refused before its start."},
     EventInfo{EventId::kRequestFinished, "request_finished", Severity::kDebug,
--- a/packages/foundation/src/foundation/event.h
+++ b/packages/foundation/src/foundation/event.h
@@ -24,6 +24,7 @@
   kDaemonUnready = 1003,
   kDrainStarted = 1004,
   kDaemonStopped = 1005,
+  kTaskFailed = 1006,
 
   kRequestRefused = 2001,
   kRequestFinished = 2002,
--- a/packages/gateway/src/gateway/http_engine_client.cc
+++ b/packages/gateway/src/gateway/http_engine_client.cc
@@ -2,6 +2,7 @@
 
 #include <tuple>
 
+#include "foundation/spawn.h"
 #include "gateway/engine_messages.h"
 #include "gateway/responses.h"
 #include "gateway/url.h"
@@ -92,9 +93,8 @@
     }
     const nlohmann::json notice = {{"request", this->request},
                                    {"attempt", this->attempt}};
-    asio::co_spawn(this->io,
-                   SendCancel(this->client, this->address, Dump(notice)),
-                   asio::detached);
+    Spawn(this->io, "engine.cancel",
+          SendCancel(this->client, this->address, Dump(notice)));
   }
 
  private:
--- a/packages/http/src/http/server.cc
+++ b/packages/http/src/http/server.cc
@@ -10,6 +10,7 @@
 #include <tuple>
 #include <unordered_set>
 
+#include "foundation/spawn.h"
 #include "foundation/wait.h"
 #include "http/endpoint.h"
 
@@ -363,8 +364,7 @@
     socket.set_option(tcp::no_delay(true), failure);
     auto connection = std::make_shared<Connection>(std::move(socket), state->io,
                                                    state->clock, state->limits);
-    asio::co_spawn(state->io, ServeConnection(state, connection),
-                   asio::detached);
+    Spawn(state->io, "http.connection", ServeConnection(state, connection));
   }
 }
 
@@ -402,8 +402,8 @@
     return Error{ErrorCode::kUnavailable, "http.listen", std::string(address),
                  failure.message()};
   }
-  asio::co_spawn(this->state->io, AcceptConnections(this->state),
-                 asio::detached);
+  SpawnLoop(this->state->io, this->state->clock, "http.accept",
+            [accepting = this->state] { return AcceptConnections(accepting); });
   return acceptor.local_endpoint().port();
 }
 
--- a/packages/relay/src/relay/deployment.h
+++ b/packages/relay/src/relay/deployment.h
@@ -129,6 +129,10 @@
   std::uint32_t size() const {
     return this->empty() ? 0 : this->end - this->first;
   }
+  /// Whether a model of `layer_count` layers has all layers of the range.
+  bool IsWithin(std::uint32_t layer_count) const {
+    return this->empty() || this->end <= layer_count;
+  }
   bool operator==(const LayerRange&) const = default;
 };
 
--- a/packages/relay/src/relay/entry_daemon.cc
+++ b/packages/relay/src/relay/entry_daemon.cc
@@ -1,10 +1,9 @@
 #include "relay/entry_daemon.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <random>
 #include <utility>
 
+#include "foundation/spawn.h"
 #include "foundation/wait.h"
 #include "http/server.h"
 #include "relay/caller_listener.h"
@@ -82,6 +81,7 @@
 struct EntryDaemon::State : ReportListener,
                             QuarantineListener,
                             LimitListener,
+                            TaskFailureListener,
                             std::enable_shared_from_this<EntryDaemon::State> {
   State(EntrySettings given, PlatformServices services,
         asio::io_context& context, Clock& time, EventSink& sink,
@@ -106,6 +106,7 @@
         status(relay.metrics, [this] { return this->IsReady(); }),
         readiness(context, time, kStatusLimits, status),
         metrics(context, time, kStatusLimits, status) {
+    SetTaskFailureListener(this->io, this);
     services.era_source->SetAnswerObserver(this->relay.store_era);
     this->lease.SetFirstStart(this->settings.first_start);
     this->relay.engines = services.engines;
@@ -128,6 +129,10 @@
     this->watcher.on_servers_polled = [this] { this->gossip.SendUpdate(); };
   }
 
+  ~State() override { SetTaskFailureListener(this->io, nullptr); }
+  State(const State&) = delete;
+  State& operator=(const State&) = delete;
+
   bool IsReady() const {
     return !this->relay.draining && this->watcher.HasConfiguration() &&
            this->watcher.has_servers() && this->quarantine_store.loaded() &&
@@ -146,9 +151,18 @@
     }
   }
 
-  template <class Loop>
-  void Spawn(Loop loop) {
-    asio::co_spawn(this->io, std::move(loop), asio::detached);
+  /// Runs a member function as a loop of the process.
+  template <class Object>
+  void RunLoop(std::string name, Object& object, Task<void> (Object::*run)()) {
+    SpawnLoop(this->io, this->clock, std::move(name),
+              [&object, run] { return (object.*run)(); });
+  }
+
+  void OnTaskFailed(std::string_view task, std::string_view detail) override {
+    this->relay.metrics.Count("quetzalpost_task_failures_total", task);
+    this->events.Record(
+        EventId::kTaskFailed,
+        {{"task", std::string(task)}, {"detail", std::string(detail)}});
   }
 
   void OnReport(const LoadReport& report) override {
@@ -263,7 +277,8 @@
   }
 
   Task<void> Drain() {
-    const TimePoint began = this->clock.Now();
+    const TimePoint began =
+        this->relay.drain_window.began_at().value_or(this->clock.Now());
     const TimePoint end =
         began + std::max(this->settings.grace_period - kShutdownMargin,
                          kDrainCheckInterval);
@@ -337,16 +352,20 @@
   self.events.Record(EventId::kClientLimitsInUse,
                      {{"held_bytes", std::to_string(limits.held_bytes)},
                       {"connections", std::to_string(limits.connections)}});
-  self.Spawn(self.watcher.WatchConfiguration());
-  self.Spawn(self.watcher.KeepConfigurationCurrent());
-  self.Spawn(self.watcher.WatchServers());
-  self.Spawn(self.watcher.KeepServersCurrent());
-  self.Spawn(self.HoldLease());
-  self.Spawn(self.controller.Run());
-  self.Spawn(self.LoadQuarantine());
-  self.Spawn(self.registry.Run());
-  self.Spawn(self.gossip.Run());
-  self.Spawn(self.RunMaintenance());
+  StoreWatcher& watcher = self.watcher;
+  self.RunLoop("configuration.watch", watcher,
+               &StoreWatcher::WatchConfiguration);
+  self.RunLoop("configuration.keep_current", watcher,
+               &StoreWatcher::KeepConfigurationCurrent);
+  self.RunLoop("servers.watch", watcher, &StoreWatcher::WatchServers);
+  self.RunLoop("servers.keep_current", watcher,
+               &StoreWatcher::KeepServersCurrent);
+  self.RunLoop("lease.hold", self, &State::HoldLease);
+  self.RunLoop("layers.reconcile", self.controller, &LayerController::Run);
+  self.RunLoop("quarantine.load", self, &State::LoadQuarantine);
+  self.RunLoop("registry.run", self.registry, &EntryRegistry::Run);
+  self.RunLoop("gossip.run", self.gossip, &LoadGossip::Run);
+  self.RunLoop("maintenance.run", self, &State::RunMaintenance);
   return Ok();
 }
 
@@ -368,7 +387,7 @@
   self.events.Record(EventId::kDrainStarted,
                      {{"sessions", std::to_string(self.listener.sessions())}});
   self.LogReadiness();
-  self.Spawn(self.Drain());
+  self.RunLoop("drain", self, &State::Drain);
 }
 
 bool EntryDaemon::IsReady() const { return this->state->IsReady(); }
--- a/packages/relay/src/relay/entry_registry.cc
+++ b/packages/relay/src/relay/entry_registry.cc
@@ -1,9 +1,8 @@
 #include "relay/entry_registry.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
+#include "foundation/spawn.h"
 #include "foundation/wait.h"
 
 namespace qp::relay {
@@ -81,10 +80,18 @@
   while (this->must_register && !this->relay.draining) {
     this->must_register = false;
     const std::uint64_t era = this->relay.store_era.current();
-    auto operations = MakeRegistration(
-        this->node, this->relay.availability_zone, this->address, era);
-    const auto written = co_await this->table.Transact(TransactMode::kAll,
-                                                       std::move(operations));
+    bool written = false;
+    try {
+      auto operations = MakeRegistration(
+          this->node, this->relay.availability_zone, this->address, era);
+      const auto result = co_await this->table.Transact(TransactMode::kAll,
+                                                        std::move(operations));
+      written = result.has_value();
+    } catch (...) {
+      this->must_register = true;
+      this->registering = false;
+      throw;
+    }
     if (!written) {
       co_await SleepFor(this->clock, kRetryInterval);
     }
@@ -98,7 +105,7 @@
   this->era_began = this->clock.Now();
   this->counts = 0;
   this->must_register = true;
-  asio::co_spawn(this->relay.io, this->Register(), asio::detached);
+  Spawn(this->relay.io, "registry.register", this->Register());
 }
 
 Task<bool> EntryRegistry::CountProcesses() {
@@ -113,15 +120,28 @@
   const std::size_t prefix_size = std::string_view(kPrefix).size();
   const bool may_rejoin = this->clock.Now() - this->era_began < kRejoinTime;
   for (const auto& item : items.value()) {
-    const bool is_current = item.value.value("era", std::uint64_t{0}) >=
-                            this->relay.store_era.current();
-    if (!is_current && !may_rejoin) {
+    std::uint64_t era = 0;
+    std::string zone;
+    std::string peer;
+    try {
+      era = item.value.value("era", std::uint64_t{0});
+      zone = item.value.value("availability_zone", std::string());
+      peer = item.value.value("address", std::string());
+    } catch (const nlohmann::json::exception& failure) {
+      // The entry must not hide the others. It can be that of a process, which
+      // has a share in the limits.
+      names.push_back(item.key.substr(prefix_size));
+      this->relay.events.Record(
+          EventId::kRelayEntryUnreadable,
+          {{"entry", item.key}, {"detail", failure.what()}});
+      continue;
+    }
+    if (era < this->relay.store_era.current() && !may_rejoin) {
       continue;
     }
-    const auto zone = item.value.value("availability_zone", std::string());
     processes_in_own_zone += zone == this->relay.availability_zone ? 1 : 0;
     names.push_back(item.key.substr(prefix_size));
-    zone_by_address[item.value.value("address", std::string())] = zone;
+    zone_by_address[std::move(peer)] = std::move(zone);
   }
   this->relay.processes_in_zone = std::max(1.0, processes_in_own_zone);
   const std::size_t count = names.size();
--- a/packages/relay/src/relay/exchange_move.cc
+++ b/packages/relay/src/relay/exchange_move.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <utility>
 
+#include "foundation/spawn.h"
 #include "relay/chain_repair.h"
 #include "relay/exchange.h"
 #include "relay/log_text.h"
@@ -171,10 +172,8 @@
   this->StartProgressTimer(*this->moved_at + kMoveTimeout);
   auto next_load =
       std::make_unique<ChainLoad>(std::move(*next), this->KvTokens());
-  asio::co_spawn(
-      this->relay.io,
-      RequestMove(this->relay, this, std::move(next_load), this->alive),
-      asio::detached);
+  Spawn(this->relay.io, "stream.move",
+        RequestMove(this->relay, this, std::move(next_load), this->alive));
   return true;
 }
 
--- a/packages/relay/src/relay/layer_controller.cc
+++ b/packages/relay/src/relay/layer_controller.cc
@@ -1,5 +1,7 @@
 #include "relay/layer_controller.h"
 
+#include <exception>
+
 #include "foundation/wait.h"
 
 namespace qp::relay {
@@ -26,7 +28,12 @@
     if (this->lease.FencingNumber() &&
         this->relay.active_configuration != nullptr) {
       this->reconciling = true;
-      co_await this->Reconcile();
+      try {
+        co_await this->Reconcile();
+      } catch (...) {
+        this->reconciling = false;
+        throw;
+      }
       this->reconciling = false;
     }
   }
@@ -35,37 +42,50 @@
 Task<void> LayerController::Reconcile() {
   const auto active_configuration = this->relay.active_configuration;
   this->relay.servers.Expire(this->clock.Now());
+  std::exception_ptr failure;
   for (const auto& [name, service] :
        active_configuration->configuration.services) {
     if (!service.engine) {
       continue;
     }
-    const EngineProfile& profile = *service.engine;
-    const auto engines = this->PlannedEngines(name);
-    const auto orders = PlanLayers(profile, engines);
-    for (const auto& order : orders) {
-      const ServerPtr server = this->relay.servers.Find(order.engine);
-      // The lease can have ended since the previous order was sent.
-      if (server == nullptr || this->relay.draining ||
-          !this->lease.FencingNumber()) {
-        continue;
-      }
-      // Without room for an order, the engine is ordered in a later round.
-      if (!server->request_limit.HasRoom(this->clock.Now())) {
-        continue;
-      }
-      const double share =
-          static_cast<double>(order.layers.size()) / profile.layers;
-      const auto load_time =
-          std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-              profile.load_seconds * share * kConcurrentLoadFactor));
-      co_await this->Send(server->record, order.layers, load_time);
+    try {
+      co_await this->ReconcileService(name, *service.engine);
+    } catch (...) {
+      // The other services must get their orders.
+      failure = std::current_exception();
+    }
+  }
+  if (failure) {
+    std::rethrow_exception(failure);
+  }
+}
+
+Task<void> LayerController::ReconcileService(const std::string& service,
+                                             const EngineProfile& profile) {
+  const auto engines = this->PlannedEngines(service, profile.layers);
+  const auto orders = PlanLayers(profile, engines);
+  for (const auto& order : orders) {
+    const ServerPtr server = this->relay.servers.Find(order.engine);
+    // The lease can have ended since the previous order was sent.
+    if (server == nullptr || this->relay.draining ||
+        !this->lease.FencingNumber()) {
+      continue;
+    }
+    // Without room for an order, the engine is ordered in a later round.
+    if (!server->request_limit.HasRoom(this->clock.Now())) {
+      continue;
     }
+    const double share =
+        static_cast<double>(order.layers.size()) / profile.layers;
+    const auto load_time =
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+            profile.load_seconds * share * kConcurrentLoadFactor));
+    co_await this->Send(server->record, order.layers, load_time);
   }
 }
 
 std::vector<PlannedEngine> LayerController::PlannedEngines(
-    const std::string& service) {
+    const std::string& service, std::uint32_t layer_count) {
   const TimePoint now = this->clock.Now();
   std::vector<PlannedEngine> engines;
   for (const auto& server : this->relay.servers.FindByService(service)) {
@@ -82,7 +102,8 @@
         this->pending.find({server->record.id, server->record.incarnation});
     if (ordered != this->pending.end()) {
       const bool done = ordered->second.layers == server->record.layers;
-      if (done || now >= ordered->second.lost_at) {
+      const bool obsolete = !ordered->second.layers.IsWithin(layer_count);
+      if (done || obsolete || now >= ordered->second.lost_at) {
         this->pending.erase(ordered);
       } else {
         engine.layers = ordered->second.layers;
--- a/packages/relay/src/relay/layer_controller.h
+++ b/packages/relay/src/relay/layer_controller.h
@@ -30,7 +30,8 @@
   LayerController(RelayContext& relay, Clock& clock, EngineControl& control,
                   Lease& lease);
 
-  /// Runs until the process ends or drains.
+  /// Runs until the process ends or drains. Can be started again after an
+  /// exception.
   Task<void> Run();
   /// Whether a reconciliation is running, during which an order can be under
   /// way. Once the process drains, no further order is sent.
@@ -47,7 +48,12 @@
   };
 
   Task<void> Reconcile();
-  std::vector<PlannedEngine> PlannedEngines(const std::string& service);
+  /// `service` and `profile` must live until the task has ended.
+  Task<void> ReconcileService(const std::string& service,
+                              const EngineProfile& profile);
+  /// State of the engines of a service whose model has `layer_count` layers.
+  std::vector<PlannedEngine> PlannedEngines(const std::string& service,
+                                            std::uint32_t layer_count);
   Task<void> Send(ServerRecord engine, LayerRange layers, Duration load_time);
   /// Fetches the order count of an engine that did not accept an order.
   /// `answered`: whether the engine responded to the order. If it did not, the
--- a/packages/relay/src/relay/layer_plan.cc
+++ b/packages/relay/src/relay/layer_plan.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <utility>
 
 namespace qp::relay {
 
@@ -84,7 +85,7 @@
   explicit ZonePlanner(const EngineProfile& engine_profile)
       : profile(engine_profile), coverage(engine_profile.layers) {}
 
-  void Add(const PlannedEngine& engine) { this->engines.push_back(engine); }
+  void Add(PlannedEngine engine) { this->engines.push_back(std::move(engine)); }
 
   void Plan(std::vector<LayerOrder>& orders) {
     this->ChooseKvTokens();
@@ -237,8 +238,12 @@
   }
   std::map<std::string, ZonePlanner, std::less<>> zones;
   for (const auto& engine : engines) {
-    zones.try_emplace(engine.availability_zone, profile)
-        .first->second.Add(engine);
+    PlannedEngine known = engine;
+    if (known.layers.empty() || !known.layers.IsWithin(profile.layers)) {
+      known.layers = {};
+    }
+    zones.try_emplace(known.availability_zone, profile)
+        .first->second.Add(std::move(known));
   }
   for (auto& [zone, planner] : zones) {
     planner.Plan(orders);
--- a/packages/relay/src/relay/layer_plan.h
+++ b/packages/relay/src/relay/layer_plan.h
@@ -48,6 +48,9 @@
 /// hold that range instead. All other engines keep their layers, because
 /// loading layers takes time.
 ///
+/// An engine whose range the model lacks, for example because the entry is
+/// older than the profile, counts as one without layers.
+///
 /// The plan is meant for peak load, at which memory for requests runs out
 /// before compute; the load itself is not an input.
 std::vector<LayerOrder> PlanLayers(const EngineProfile& profile,
--- a/packages/relay/src/relay/quarantine_store.cc
+++ b/packages/relay/src/relay/quarantine_store.cc
@@ -1,10 +1,9 @@
 #include "relay/quarantine_store.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <random>
 #include <utility>
 
+#include "foundation/spawn.h"
 #include "foundation/wait.h"
 
 namespace qp::relay {
@@ -72,7 +71,8 @@
 
 void QuarantineStore::OnStoreRestored(std::uint64_t) {
   if (!std::exchange(this->reconciling, true)) {
-    asio::co_spawn(this->relay.io, this->Reconcile(), asio::detached);
+    SpawnLoop(this->relay.io, this->clock, "quarantine.reconcile",
+              [this] { return this->Reconcile(); });
   }
 }
 
@@ -151,7 +151,8 @@
 void QuarantineStore::Save(std::string_view part) {
   this->unsaved.emplace(part);
   if (!std::exchange(this->writing, true)) {
-    asio::co_spawn(this->relay.io, this->WriteUnsaved(), asio::detached);
+    SpawnLoop(this->relay.io, this->clock, "quarantine.write",
+              [this] { return this->WriteUnsaved(); });
   }
 }
 
--- a/packages/relay/src/relay/stalled_request_finder.cc
+++ b/packages/relay/src/relay/stalled_request_finder.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "foundation/spawn.h"
+
 namespace qp::relay {
 
 bool StalledRequestFinder::IsPending(std::string_view first) const {
@@ -14,13 +16,20 @@
   auto& callbacks = this->pending_callbacks[first.id];
   callbacks.push_back(std::move(callback));
   if (callbacks.size() == 1) {
-    asio::co_spawn(this->io, this->Run(engines, first), asio::detached);
+    Spawn(this->io, "engine.find_stalled", this->Run(engines, first));
   }
 }
 
 Task<void> StalledRequestFinder::Run(EngineControl& engines,
                                      ServerRecord first) {
-  const auto stalled = co_await engines.FindStalled(first);
+  Result<StalledRequests> stalled = Error{};
+  try {
+    stalled = co_await engines.FindStalled(first);
+  } catch (const std::exception& failure) {
+    // The callbacks must be called in any case.
+    stalled = Error{ErrorCode::kProtocol, "engine.ask", first.address,
+                    failure.what()};
+  }
   // A callback can call Find again, which adds to `pending_callbacks`.
   const auto callbacks =
       std::exchange(this->pending_callbacks[first.id], std::vector<Callback>());
--- a/packages/relay/src/relay/store_watcher.cc
+++ b/packages/relay/src/relay/store_watcher.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "foundation/spawn.h"
 #include "foundation/wait.h"
 #include "relay/age_millis.h"
 
@@ -54,15 +55,15 @@
   this->applied_server_revision = 0;
   this->own_updates.clear();
   this->restored_servers.Begin(this->relay.servers, this->clock.Now());
-  asio::co_spawn(this->relay.io, this->ReadServersAfterHold(), asio::detached);
+  Spawn(this->relay.io, "servers.read_restored", this->ReadServersAfterHold());
   // Servers that the copy lacks write their entries again.
   this->availability.RecordReturn(this->clock.Now());
   if (this->has_configuration()) {
-    asio::co_spawn(this->relay.io, this->CompareConfiguration(),
-                   asio::detached);
+    Spawn(this->relay.io, "configuration.compare",
+          this->CompareConfiguration());
   }
   if (this->servers_known) {
-    asio::co_spawn(this->relay.io, this->CompareServers(), asio::detached);
+    Spawn(this->relay.io, "servers.compare", this->CompareServers());
   }
 }
 
@@ -139,15 +140,24 @@
 Task<void> StoreWatcher::CompareServers() {
   Comparisons& comparisons = this->server_comparisons;
   ++comparisons.pending;
-  const auto applied = co_await this->FetchServers(true);
+  std::optional<Error> failure;
+  try {
+    const auto applied = co_await this->FetchServers(true);
+    if (!applied) {
+      failure = applied.error();
+    }
+  } catch (...) {
+    --comparisons.pending;
+    throw;
+  }
   --comparisons.pending;
-  if (applied) {
+  if (!failure) {
     comparisons.backoff = Duration{0};
     co_return;
   }
   this->relay.events.Record(
       EventId::kServerListReadFailed,
-      {{"step", applied.error().step}, {"detail", applied.error().detail}});
+      {{"step", failure->step}, {"detail", failure->detail}});
   this->DelayComparison(comparisons);
 }
 
@@ -169,7 +179,7 @@
                                            : schedule.RetryInterval());
     }
     if (comparisons.pending < kMaxPendingComparisons) {
-      asio::co_spawn(this->relay.io, (this->*compare)(), asio::detached);
+      Spawn(this->relay.io, "store.compare", (this->*compare)());
     }
     co_await SleepFor(this->clock, schedule.RetryInterval());
   }
--- a/packages/relay/src/relay/store_watcher_configuration.cc
+++ b/packages/relay/src/relay/store_watcher_configuration.cc
@@ -210,15 +210,22 @@
 
 Task<void> StoreWatcher::CompareConfiguration() {
   Comparisons& comparisons = this->configuration_comparisons;
-  ++comparisons.pending;
   const ConfigurationRead read =
       this->BeginRead("comparison", !this->configuration_revision);
   auto call =
       this->configuration_revision
           ? this->store.CompareConfiguration(*this->configuration_revision)
           : this->store.ReadConfiguration();
-  const auto snapshot = co_await std::move(call);
+  ++comparisons.pending;
+  std::optional<Result<ConfigurationSnapshot>> answer;
+  try {
+    answer = co_await std::move(call);
+  } catch (...) {
+    --comparisons.pending;
+    throw;
+  }
   --comparisons.pending;
+  const Result<ConfigurationSnapshot>& snapshot = *answer;
   if (!snapshot) {
     this->HandleFailedRead(snapshot.error(), read);
     if (snapshot.error().code != ErrorCode::kNotFound) {
--- a/packages/relay/src/relay/store_watcher_reports.cc
+++ b/packages/relay/src/relay/store_watcher_reports.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "foundation/spawn.h"
 #include "relay/age_millis.h"
 #include "relay/store_watcher.h"
 
@@ -77,8 +78,8 @@
       (!this->last_catch_up_at ||
        now - *this->last_catch_up_at >= this->CatchUpInterval())) {
     this->last_catch_up_at = now;
-    asio::co_spawn(this->relay.io, this->CatchUpConfiguration(),
-                   asio::detached);
+    Spawn(this->relay.io, "configuration.catch_up",
+          this->CatchUpConfiguration());
   }
   if (same_era && version != 0 && report.configuration_version == version) {
     freshness.RecordVerified(
--- a/packages/relay/tests/relay/layer_controller_test.cc
+++ b/packages/relay/tests/relay/layer_controller_test.cc
@@ -3,7 +3,9 @@
 #include <catch2/catch.hpp>
 #include <map>
 #include <set>
+#include <stdexcept>
 
+#include "foundation/spawn.h"
 #include "relay/idle_engines.h"
 #include "relay/relay_harness.h"
 #include "storage/table.h"
@@ -28,6 +30,9 @@
     if (this->on_order) {
       this->on_order();
     }
+    if (this->throws) {
+      throw std::runtime_error("an order that cannot be sent");
+    }
     if (this->unresponsive) {
       co_return Error{ErrorCode::kUnknownEffect, "order", engine.id, ""};
     }
@@ -51,6 +56,7 @@
   std::map<std::string, std::uint64_t> begun_orders;
   int state_requests = 0;
   bool unresponsive = false;
+  bool throws = false;
 };
 
 /// A table that holds one lease item.
@@ -100,13 +106,20 @@
     record.layers = layers;
     harness.relay.servers.Put(record, harness.relay.Now());
   }
+  void SetLayerCount(std::uint32_t layers) {
+    auto configuration = harness.relay.active_configuration->configuration;
+    configuration.services["model"].engine->layers = layers;
+    harness.relay.active_configuration =
+        std::make_shared<const ActiveConfiguration>(configuration);
+  }
   void AcquireLease() {
     asio::co_spawn(harness.runtime.io(), lease.Tick(), asio::detached);
     harness.runtime.Settle();
   }
   void Run(Duration time) {
     if (!std::exchange(started, true)) {
-      asio::co_spawn(harness.runtime.io(), controller.Run(), asio::detached);
+      SpawnLoop(harness.runtime.io(), harness.runtime.clock(), "layers",
+                [this] { return controller.Run(); });
     }
     harness.runtime.Advance(time);
   }
@@ -210,4 +223,55 @@
   CHECK_FALSE(fixture.controller.is_reconciling());
 }
 
+// Guards against engines that never get an order: an entry with layers that
+// the model lacks ended the loop of the process that holds the lease.
+TEST_CASE("An engine with layers that the model lacks stops no order",
+          "[relay][keeper]") {
+  Fixture fixture;
+  fixture.AcquireLease();
+  SECTION("when it is listed before the first order") {
+    fixture.Put("odd", {0, 160});
+    fixture.Run(milliseconds(1000));
+  }
+  SECTION("when its entry changes later") {
+    fixture.Run(milliseconds(1000));
+    fixture.Put("e0", {0, 160});
+    fixture.Put("e4", {});
+    fixture.Run(milliseconds(1000));
+  }
+  SECTION("when the configuration changes to a smaller model") {
+    fixture.Run(milliseconds(1000));
+    fixture.SetLayerCount(40);
+    fixture.Put("e4", {});
+    fixture.Run(milliseconds(1000));
+    for (const auto& order : fixture.engines.orders) {
+      if (order.engine == "e4") {
+        CHECK(order.layers.end <= 40);
+      }
+    }
+  }
+  std::set<std::string> engines;
+  for (const auto& order : fixture.engines.orders) {
+    engines.insert(order.engine);
+  }
+  CHECK(engines.contains("e1"));
+  CHECK(engines.contains(engines.contains("e4") ? "e4" : "e3"));
+}
+
+// Guards against a lease that is held while nobody sends orders: an exception
+// ended the loop without a trace.
+TEST_CASE("An exception during a reconciliation is recorded and not the end",
+          "[relay][keeper]") {
+  Fixture fixture;
+  fixture.AcquireLease();
+  fixture.engines.throws = true;
+  fixture.Run(milliseconds(1000));
+  REQUIRE(fixture.engines.orders.size() == 1);
+  CHECK_FALSE(fixture.controller.is_reconciling());
+  fixture.engines.throws = false;
+  fixture.Run(milliseconds(4000));
+  // The engine whose order threw can have received it.
+  CHECK(fixture.engines.orders.size() == 4);
+}
+
 }  // namespace qp::relay::testing
--- a/packages/relay/tests/relay/layer_plan_test.cc
+++ b/packages/relay/tests/relay/layer_plan_test.cc
@@ -185,4 +185,24 @@
   }));
 }
 
+// Guards against a plan that is never made: layers beyond those of the model,
+// from an entry of another writer or of an older configuration, threw.
+TEST_CASE("An engine with layers that the model lacks counts as empty",
+          "[relay][layers]") {
+  std::vector<PlannedEngine> engines = MakeMiddleEngines(12);
+  const LayerRange foreign =
+      GENERATE(LayerRange{0, 160}, LayerRange{70, 90}, LayerRange{80, 81},
+               LayerRange{200, 300}, LayerRange{60, 20}, LayerRange{300, 200},
+               LayerRange{0, 4'000'000'000});
+  auto odd = MakeEmptyEngine("odd", "middle");
+  odd.layers = foreign;
+  odd.movable = GENERATE(false, true);
+  engines.insert(engines.begin(), odd);
+  const auto orders = PlanLayers(MakeProfile(), engines);
+  engines.front().layers = {};
+  CHECK(orders == PlanLayers(MakeProfile(), engines));
+  const auto coverage = CoverageAfter(engines, orders);
+  CHECK(std::count(coverage.begin(), coverage.end(), 0) == 0);
+}
+
 }  // namespace qp::relay::testing
--- a/packages/storage/src/storage/grouped_table.cc
+++ b/packages/storage/src/storage/grouped_table.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "foundation/asio.h"
+#include "foundation/spawn.h"
 
 namespace qp {
 
@@ -40,8 +41,7 @@
       return;
     }
     this->clock.Cancel(group->timer);
-    asio::co_spawn(executor, Write(this->shared_from_this(), group),
-                   asio::detached);
+    Spawn(executor, "table.write", Write(this->shared_from_this(), group));
   }
 
   void Open(const asio::any_io_executor& executor) {
@@ -62,8 +62,15 @@
   static Task<void> Write(std::shared_ptr<State> self,
                           std::shared_ptr<Group> group) {
     const std::size_t count = group->operations.size();
-    auto result = co_await self->inner.Transact(TransactMode::kEach,
-                                                std::move(group->operations));
+    Result<std::vector<OperationResult>> result = Error{};
+    try {
+      result = co_await self->inner.Transact(TransactMode::kEach,
+                                             std::move(group->operations));
+    } catch (const std::exception& failure) {
+      // The callers wait for a result.
+      result = Error{ErrorCode::kUnknownEffect, "table.transact", "",
+                     failure.what()};
+    }
     if (result.has_value() && result.value().size() != count) {
       result =
           Error{ErrorCode::kUnknownEffect, "table.transact", "",
