Count a try until it is certain that it has not run

Cause: tries_run and may_have_run were kept by hand in six places, each with its own rule. The one for pooled connections took a failure before any byte of a response for a connection that the server had closed while it was idle. A lost response looks the same. The first try of a hedged request had the same rule.

Change: PossibleRuns counts a try from the moment it is sent until the server has said that it did not run it, or no byte was sent. The limits on tries and the promise "not run" follow from it. A connection is checked for a close that has arrived before it is taken from the pool, so that servers that close idle connections cost no try where that can be known. The retry budget is told of each further arrival, as before.

--- a/packages/relay/src/relay/channel.cc
+++ b/packages/relay/src/relay/channel.cc
@@ -220,6 +220,17 @@
   return this->is_open() && this->socket.available(failure) > 0;
 }
 
+bool Channel::IsQuiet() {
+  if (!this->is_open()) {
+    return false;
+  }
+  error_code result;
+  char byte = 0;
+  this->socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
+                       result);
+  return result == asio::error::would_block;
+}
+
 void Channel::Close() {
   if (std::exchange(this->closed, true)) {
     return;
--- a/packages/relay/src/relay/channel.h
+++ b/packages/relay/src/relay/channel.h
@@ -56,6 +56,9 @@
   /// Whether bytes from the peer have arrived that the channel has not read
   /// yet.
   bool has_input() const;
+  /// Whether the connection is open and the peer has neither sent bytes that
+  /// are not read yet nor closed it, as far as is known now.
+  bool IsQuiet();
   /// Bytes that are buffered and not yet handed to the operating system.
   std::size_t unsent() const {
     return this->pending.size() - this->flushed_bytes;
--- a/packages/relay/src/relay/exchange.cc
+++ b/packages/relay/src/relay/exchange.cc
@@ -185,7 +185,7 @@
     this->HandleDeadline();
     return;
   }
-  if (this->tries_run >= this->route->max_attempts ||
+  if (this->runs.count() >= this->route->max_attempts ||
       this->tries >= kMaxTries) {
     this->GiveUp("no tries are left");
     return;
@@ -245,6 +245,7 @@
   this->server = std::move(target.server);
   this->chain = std::move(target.chain);
   this->try_number = ++this->tries;
+  this->runs.Add(this->try_number);
   this->open_zones.clear();
   this->try_started_at = this->relay.Now();
   this->last_progress_at = this->try_started_at;
@@ -341,9 +342,8 @@
 
 void Exchange::HandleFailedTry(bool may_have_run, std::string_view why) {
   this->last_failure = why;
-  if (may_have_run) {
-    this->may_have_run = true;
-    ++this->tries_run;
+  if (!may_have_run) {
+    this->runs.Remove(this->try_number);
   }
   if (this->IsHedgeBesideFirst() && this->ContinueSilentTry(why)) {
     return;
@@ -365,14 +365,13 @@
   if (this->call != nullptr) {
     this->call->Cancel();
     this->EndTry(false);
-    this->may_have_run = true;
   }
   if (this->response_begun) {
     this->LogFinished("aborted", this->last_failure);
     this->sink.Abort();
     return;
   }
-  if (this->may_have_run) {
+  if (!this->runs.empty()) {
     this->SendLocalReply({504, this->last_failure, std::nullopt});
   } else {
     this->SendLocalReply({503, this->last_failure, milliseconds(100)});
@@ -401,7 +400,7 @@
     this->sink.Abort();
     return;
   }
-  if (this->may_have_run) {
+  if (!this->runs.empty()) {
     this->SendLocalReply({502, why, std::nullopt});
     return;
   }
--- a/packages/relay/src/relay/exchange.h
+++ b/packages/relay/src/relay/exchange.h
@@ -9,6 +9,7 @@
 
 #include "relay/chain_load.h"
 #include "relay/event_splitter.h"
+#include "relay/possible_runs.h"
 #include "relay/relay.h"
 #include "relay/responses.h"
 #include "relay/server_choice.h"
@@ -48,6 +49,7 @@
   /// including the refused ones. Limits the time that a caller waits while
   /// servers refuse its request.
   static constexpr int kMaxTries = 5;
+  static_assert(kMaxTries <= PossibleRuns::kMaxNumber);
 
   Exchange(RelayContext& relay, http::Request request, TimePoint arrived,
            ResponseSink& sink);
@@ -235,6 +237,7 @@
   void RecordChosenAnswer(bool whole);
   void LogHedge();
   /// Tries the next server, or gives up if the request must not be run again.
+  /// `may_have_run`: whether the server can have run the request.
   void HandleFailedTry(bool may_have_run, std::string_view why);
   /// Marks the engines of the chain without progress after `since` as suspect
   /// and returns them. If there is only one such engine, records a failure of
@@ -301,8 +304,7 @@
 
   // State over all tries.
   int tries = 0;      ///< Requests sent to servers, refused ones included.
-  int tries_run = 0;  ///< Tries that a server has run or can have run.
-  bool may_have_run = false;
+  PossibleRuns runs;  ///< Tries that servers have run or can have run.
   std::vector<std::string> excluded;  ///< Ids of servers to avoid.
   std::string last_failure;
   /// Since when the request waits for trials of its prompt parts.
--- a/packages/relay/src/relay/exchange_quarantine.cc
+++ b/packages/relay/src/relay/exchange_quarantine.cc
@@ -100,7 +100,7 @@
       IsRequestFingerprint(admission.part)
           ? "the request crashes servers, fingerprint " + admission.part
           : "requests with prompt part " + admission.part + " crash engines";
-  if (this->response_begun || this->may_have_run) {
+  if (this->response_begun || !this->runs.empty()) {
     this->GiveUp(why);
     return;
   }
@@ -137,7 +137,6 @@
     this->ReleaseTry();
   }
   this->DropSilentTry();
-  this->may_have_run = true;
   this->GiveUp("the request or a part of its prompt crashes servers");
 }
 
--- a/packages/relay/src/relay/exchange_responses.cc
+++ b/packages/relay/src/relay/exchange_responses.cc
@@ -14,9 +14,6 @@
 
 /// Status with which a server refuses requests temporarily.
 constexpr unsigned kUnavailableStatus = 503;
-/// Status with which a server refuses a request that is addressed to another
-/// server.
-constexpr unsigned kWrongServerStatus = 421;
 /// Status with which a server answers a request whose time limit has passed.
 constexpr unsigned kGatewayTimeoutStatus = 504;
 /// Events after which the request has not crashed the engine. An engine can
@@ -81,8 +78,6 @@
       return;
     case ResponseClass::kNotForwardable:
       this->DropResponse(this->head->status < kFirstServerError);
-      this->may_have_run = true;
-      ++this->tries_run;
       this->GiveUp("the server failed");
       return;
   }
@@ -91,10 +86,7 @@
 Exchange::ResponseClass Exchange::ClassifyResponse() const {
   const unsigned status = this->head->status;
   const ResponseMetadata& response = this->head->metadata;
-  const bool refused =
-      status == kWrongServerStatus ||
-      (response.not_executed && (IsRefusal(status) || status == 400));
-  if (refused) {
+  if (IsNotExecuted(*this->head)) {
     return ResponseClass::kNotExecuted;
   }
   if (IsSuccess(status) && !response.is_signed) {
@@ -103,7 +95,7 @@
   // The silent try can still bring a better answer.
   const bool may_retry =
       this->silent_try != nullptr ||
-      (this->MayRetry() && this->tries_run + 1 < this->route->max_attempts);
+      (this->MayRetry() && this->runs.count() < this->route->max_attempts);
   if (status >= kFirstServerError && may_retry) {
     return ResponseClass::kRetryable;
   }
@@ -361,6 +353,8 @@
   if (failure.may_have_run) {
     this->ProbeForCrash(target, this->try_started_at);
   }
+  // A pooled connection can end because the server closes idle ones, which is
+  // no failure of the server.
   if (!failure.was_reused) {
     if (this->chain && failure.may_have_run) {
       this->SuspectSilentEngines(this->last_progress_at);
@@ -369,14 +363,6 @@
     }
     this->excluded.push_back(target->record.id);
   }
-  if (failure.was_reused) {
-    // A pooled connection that the server had closed is no failure of the
-    // server. The next try uses another connection.
-    this->may_have_run = true;
-    this->last_failure = failure.error.detail;
-    this->TryServers();
-    return;
-  }
   this->HandleFailedTry(failure.may_have_run, failure.error.detail);
 }
 
--- a/packages/relay/src/relay/exchange_silence.cc
+++ b/packages/relay/src/relay/exchange_silence.cc
@@ -64,10 +64,6 @@
          {"silent_ms", FormatMillis(this->silent_try->silence())},
          {"why", std::string(why)}});
   }
-  if (this->call == nullptr) {
-    // The run of the silent try is counted again when it ends.
-    --this->tries_run;
-  }  // Otherwise the run of the try that is cancelled now counts in its place.
   this->AbandonTry();
   const auto continued = std::move(this->silent_try);
   continued->Restore();
@@ -173,7 +169,7 @@
 }
 
 void Exchange::ReplaceSilentTry() {
-  if (!this->MayRetry() || this->tries_run + 1 >= this->route->max_attempts ||
+  if (!this->MayRetry() || this->runs.count() >= this->route->max_attempts ||
       this->tries >= kMaxTries) {
     return;  // The try continues until the deadline of the request.
   }
@@ -227,8 +223,6 @@
     this->ReleaseTry();
   }
   this->last_failure = "the server fell silent";
-  this->may_have_run = true;
-  ++this->tries_run;
   this->SendTo(std::move(target));
 }
 
--- a/packages/relay/src/relay/hedging/exchange_hedge.cc
+++ b/packages/relay/src/relay/hedging/exchange_hedge.cc
@@ -71,7 +71,7 @@
   query.service = this->service->name;
   query.retry_policy = this->route->retry_policy;
   query.streaming = this->route->streaming;
-  query.tries_run = this->tries_run + 1;
+  query.tries_run = this->runs.count();
   query.max_attempts = std::min(this->route->max_attempts, kMaxTries);
   query.room = MeasureRoom(servers, now);
   query.has_server = target.server != nullptr;
@@ -84,7 +84,6 @@
   own.first_id = this->server->record.id;
   own.second_id = target.server->record.id;
   own.second_number = this->tries + 1;
-  ++this->tries_run;
   this->progress_timer.Cancel();
   this->silent_try = std::make_unique<SilentTry>(*this, true);
   this->SendTo(std::move(target));
--- a/packages/relay/src/relay/silent_try.cc
+++ b/packages/relay/src/relay/silent_try.cc
@@ -76,9 +76,10 @@
           ? IsSuccess(received.status) && received.metadata.is_signed
           : IsAnswer(received);
   if (!usable) {
+    if (IsNotExecuted(received)) {
+      this->exchange.runs.Remove(this->number);
+    }
     if (this->hedged) {
-      this->has_run = !received.metadata.not_executed;
-      this->exchange.may_have_run |= this->has_run;
       this->exchange.excluded.push_back(this->server->record.id);
     }
     this->FailResponse(ErrorCode::kUnavailable,
@@ -148,10 +149,8 @@
 void Exchange::SilentTry::OnFailure(CallFailure failure) {
   if (failure.may_have_run) {
     this->exchange.ProbeForCrash(this->server, this->started_at);
-  }
-  if (this->hedged) {
-    this->exchange.may_have_run |= failure.may_have_run;
-    this->has_run = failure.may_have_run && !failure.was_reused;
+  } else {
+    this->exchange.runs.Remove(this->number);
   }
   if (this->hedged && !failure.was_reused) {
     this->server->RecordFailure(this->exchange.relay.Now());
@@ -167,9 +166,7 @@
 
 void Exchange::SilentTry::Fail(const Error& error) {
   this->exchange.LogFailedTry(*this->server, error, this->has_events);
-  this->failed = this->has_run;
-  // Both tries were counted as runs when the second one was sent.
-  this->exchange.tries_run -= this->has_run ? 0 : 1;
+  this->failed = this->exchange.runs.Contains(this->number);
   this->exchange.DropSilentTry();
 }
 
--- a/packages/relay/src/relay/silent_try.h
+++ b/packages/relay/src/relay/silent_try.h
@@ -66,7 +66,6 @@
   std::optional<ResponseHead> head;
   EventSplitter splitter;
   std::string body;     ///< Buffered body of a plain response.
-  bool has_run = true;  ///< Whether the try counts as a run.
   bool failed = false;  ///< The try has run and failed.
   std::unique_ptr<PromptQuarantine::PendingRequest> pending_prompt;
 };
--- a/packages/relay/src/relay/upstream_call.cc
+++ b/packages/relay/src/relay/upstream_call.cc
@@ -13,11 +13,26 @@
 
 namespace beast = boost::beast;
 
+namespace {
+
+/// Status with which a server refuses a request that is addressed to another
+/// server.
+constexpr unsigned kWrongServerStatus = 421;
+constexpr unsigned kBadRequestStatus = 400;
+
+}  // namespace
+
 bool IsUnframed(const ResponseHead& head) {
   return head.headers.count(beast::http::field::content_length) == 0 &&
          head.headers.count(beast::http::field::transfer_encoding) == 0;
 }
 
+bool IsNotExecuted(const ResponseHead& head) {
+  return head.status == kWrongServerStatus ||
+         (head.metadata.not_executed &&
+          (IsRefusal(head.status) || head.status == kBadRequestStatus));
+}
+
 UpstreamCall::UpstreamCall(asio::io_context& io_context,
                            TimerQueue& timer_queue,
                            UpstreamPool& connection_pool,
@@ -79,7 +94,7 @@
 }
 
 void UpstreamCall::Send() {
-  this->sent = true;
+  this->written_before = this->channel->written();
   this->NewParser();
   this->channel->WriteOwned(std::exchange(this->request, {}));
   this->channel->SetReader(this);
@@ -307,11 +322,17 @@
     return;
   }
   CallFailure failure;
-  failure.may_have_run = this->sent;
+  failure.may_have_run = this->HasSentBytes();
   failure.was_reused = this->reused && !this->response_begun;
-  failure.error = {code, this->sent ? "upstream.answer" : "upstream.connect",
-                   this->server->record.address, std::move(detail)};
+  failure.error = {
+      code, this->written_before ? "upstream.answer" : "upstream.connect",
+      this->server->record.address, std::move(detail)};
   call_listener->OnFailure(std::move(failure));
 }
 
+bool UpstreamCall::HasSentBytes() const {
+  return this->written_before &&
+         this->channel->written() > *this->written_before;
+}
+
 }  // namespace qp::relay
--- a/packages/relay/src/relay/upstream_call.h
+++ b/packages/relay/src/relay/upstream_call.h
@@ -30,12 +30,15 @@
 /// that broke off can look complete.
 bool IsUnframed(const ResponseHead& head);
 
+/// Whether the response states that the server has not run the request.
+bool IsNotExecuted(const ResponseHead& head);
+
 /// Why a call ended without a complete response.
 struct CallFailure {
   /// Whether bytes of the request can have reached the server.
   bool may_have_run = false;
   /// Whether the connection came from the pool and failed before any byte of a
-  /// response arrived.
+  /// response arrived. The server can have run the request nevertheless.
   bool was_reused = false;
   Error error;
 };
@@ -124,6 +127,8 @@
   bool HandleMessageEnd();
   void Complete();
   void Fail(ErrorCode code, std::string detail);
+  /// Whether the operating system has accepted bytes of the request.
+  bool HasSentBytes() const;
 
   asio::io_context& io;
   UpstreamPool& pool;
@@ -139,7 +144,9 @@
   std::string request;
   bool head_request = false;
   bool reused = false;
-  bool sent = false;
+  /// Bytes written to the connection before this request; empty until the
+  /// request is written.
+  std::optional<std::uint64_t> written_before;
   bool response_begun = false;
   std::string input;
   std::optional<Parser> parser;
--- a/packages/relay/src/relay/upstream_pool.cc
+++ b/packages/relay/src/relay/upstream_pool.cc
@@ -40,6 +40,9 @@
   bool IsUsable(TimePoint now) const {
     return this->channel->is_open() && now < this->usable_until;
   }
+  /// Whether the server has closed the connection or sent bytes, also if the
+  /// reader has not been told so yet.
+  bool HasEnded() const { return !this->channel->IsQuiet(); }
   std::shared_ptr<Channel> Release() {
     return std::exchange(this->channel, nullptr);
   }
@@ -73,7 +76,7 @@
   while (!connections.empty()) {
     const auto connection = std::move(connections.back());
     connections.pop_back();
-    if (connection->IsUsable(now)) {
+    if (connection->IsUsable(now) && !connection->HasEnded()) {
       return connection->Release();
     }
   }
