Satisfy the linter in the planner and the task service

bugprone-use-after-move: the zone was read in the expression that moves the engine. readability-identifier-naming: Boost.Asio finds the service by its id, so the alias key_type isn't needed. No change in behaviour.

--- a/packages/foundation/src/foundation/spawn.cc
+++ b/packages/foundation/src/foundation/spawn.cc
@@ -14,8 +14,6 @@
 /// Keeps the listener of an execution context.
 class TaskFailures : public asio::execution_context::service {
  public:
-  using key_type = TaskFailures;
-
   explicit TaskFailures(asio::execution_context& context)
       : asio::execution_context::service(context) {}
 
--- a/packages/relay/src/relay/layer_plan.cc
+++ b/packages/relay/src/relay/layer_plan.cc
@@ -242,8 +242,9 @@
     if (known.layers.empty() || !known.layers.IsWithin(profile.layers)) {
       known.layers = {};
     }
-    zones.try_emplace(known.availability_zone, profile)
-        .first->second.Add(std::move(known));
+    auto& planner =
+        zones.try_emplace(engine.availability_zone, profile).first->second;
+    planner.Add(std::move(known));
   }
   for (auto& [zone, planner] : zones) {
     planner.Plan(orders);
