Start with a template whose optional values are missing

What operators saw: a process doesn't start where the platform gives no table "limits" ("the settings are not JSON").

Cause: the template named limits.memoryMb and limits.fileDescriptors as bare numbers. A placeholder without a value renders as nothing (DEPLOY.md), which is valid JSON only within quotes.

ParseEntrySettings takes text for the members that a template fills, and empty text as a missing member. grace_period_s and retry_budget have defaults now, so that a deployment without the table "bounds" starts too.

--- a/packages/relay/src/relay/entry_settings.cc
+++ b/packages/relay/src/relay/entry_settings.cc
@@ -73,11 +73,15 @@
 }
 
 void ParseRetry(JsonReader& reader, RetryBudget::Limits& limits) {
+  if (!reader.Has("retry_budget")) {
+    return;
+  }
   reader.Object("retry_budget", [&limits](JsonReader& retry) {
-    limits.ratio = retry.Number("ratio", 0, 10);
-    limits.extra = retry.Number("extra", 0, 1e9);
-    limits.window =
-        FromSeconds(retry.Number("window_s", kMinRetryWindowS, kMaxDurationS));
+    limits.ratio = retry.NumberOr("ratio", 0, 10, limits.ratio);
+    limits.extra = retry.NumberOr("extra", 0, 1e9, limits.extra);
+    limits.window = FromSeconds(
+        retry.NumberOr("window_s", kMinRetryWindowS, kMaxDurationS,
+                       std::chrono::duration<double>(limits.window).count()));
   });
 }
 
@@ -138,6 +142,31 @@
   });
 }
 
+/// Numbers and flags that the platform fills into a template. A template
+/// renders a missing value as nothing, which is valid JSON only within quotes.
+constexpr std::array kTemplateMembers = {
+    "/grace_period_s",     "/configuration_bound_ms", "/server_list_bound_ms",
+    "/first_start",        "/machine/memory_mb",      "/machine/descriptors",
+    "/retry_budget/ratio", "/retry_budget/extra",     "/retry_budget/window_s"};
+
+/// Replaces a member that is text by the number or flag in the text. Empty text
+/// stands for a missing member. Other text stays and is reported as a mistake.
+void ReadTextMember(nlohmann::json& document, const char* pointer) {
+  const nlohmann::json::json_pointer member(pointer);
+  if (!document.contains(member) || !document[member].is_string()) {
+    return;
+  }
+  const auto text = document[member].get<std::string>();
+  if (text.empty()) {
+    document[member.parent_pointer()].erase(member.back());
+    return;
+  }
+  auto value = nlohmann::json::parse(text, nullptr, false);
+  if (value.is_number() || value.is_boolean()) {
+    document[member] = std::move(value);
+  }
+}
+
 std::string ParseLogLevel(JsonReader& reader) {
   constexpr std::array<std::string_view, 4> kLevels = {"debug", "info",
                                                        "warning", "error"};
@@ -154,7 +183,10 @@
 }  // namespace
 
 Result<EntrySettings> ParseEntrySettings(std::string_view text) {
-  const auto document = nlohmann::json::parse(text, nullptr, false);
+  auto document = nlohmann::json::parse(text, nullptr, false);
+  for (const char* member : kTemplateMembers) {
+    ReadTextMember(document, member);
+  }
   if (document.is_discarded()) {
     return Error{ErrorCode::kInvalidArgument, "settings.parse", "",
                  "the settings are not JSON\n"};
@@ -171,8 +203,9 @@
   reader.Object("store", [&settings](JsonReader& store) {
     settings.store_address = ParseAddress(store, "address");
   });
-  settings.grace_period =
-      FromSeconds(reader.Number("grace_period_s", 0, kMaxDurationS));
+  settings.grace_period = FromSeconds(reader.NumberOr(
+      "grace_period_s", 0, kMaxDurationS,
+      std::chrono::duration<double>(kDefaultGracePeriod).count()));
   settings.configuration_bound =
       ParseBound(reader, "configuration_bound_ms", kDefaultConfigurationBound);
   settings.server_list_bound =
--- a/packages/relay/src/relay/entry_settings.h
+++ b/packages/relay/src/relay/entry_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <string>
 #include <string_view>
 
@@ -13,6 +14,9 @@
 
 namespace qp::relay {
 
+/// Grace period of a process that is told none.
+inline constexpr Duration kDefaultGracePeriod = std::chrono::seconds(8);
+
 /// Settings of an entry process. Addresses have the form "IP:port".
 struct EntrySettings {
   std::string node;
@@ -23,7 +27,7 @@
   std::string peer_address;  ///< Receives load reports of peers.
   std::string store_address;
   /// Time from the start of a drain until the process is killed.
-  Duration grace_period{};
+  Duration grace_period = kDefaultGracePeriod;
   /// Time from the store's acknowledgement of a configuration change until the
   /// change must be in force at every process.
   Duration configuration_bound = kDefaultConfigurationBound;
@@ -42,8 +46,9 @@
   std::string log_level = "info";  ///< debug, info, warning or error.
 };
 
-/// Parses settings in JSON. kInvalidArgument with a detail that lists all
-/// mistakes, one per line.
+/// Parses settings in JSON. Members that the deployment's template fills can be
+/// text; empty text stands for a missing member. kInvalidArgument with a detail
+/// that lists all mistakes, one per line.
 Result<EntrySettings> ParseEntrySettings(std::string_view text);
 
 }  // namespace qp::relay
--- a/packages/relay/tests/relay/entry_settings_test.cc
+++ b/packages/relay/tests/relay/entry_settings_test.cc
@@ -8,6 +8,7 @@
 
 namespace {
 
+using std::chrono::milliseconds;
 using Json = nlohmann::json;
 
 Json MakeValidSettings() {
@@ -159,4 +160,28 @@
   CHECK(mistakes.find("/machine/descriptors") != std::string::npos);
 }
 
+TEST_CASE("Members that a template fills can be text", "[relay][settings]") {
+  Json settings = MakeValidSettings();
+  settings["grace_period_s"] = "7.5";
+  settings["first_start"] = "true";
+  settings["machine"] = {{"memory_mb", "260"}, {"descriptors", ""}};
+  const auto parsed = ParseEntrySettings(settings.dump());
+  REQUIRE(parsed);
+  CHECK(parsed.value().grace_period == milliseconds(7500));
+  CHECK(parsed.value().first_start);
+  CHECK(parsed.value().machine.memory_bytes == 260'000'000);
+  CHECK(parsed.value().machine.descriptors == 0);
+  settings["grace_period_s"] = "soon";
+  settings["first_start"] = "7";
+  settings["machine"] = "large";
+  settings["retry_budget"]["ratio"] = "-1";
+  const std::string mistakes = MistakesIn(settings);
+  for (const char* pointer :
+       {"/grace_period_s", "/first_start", "/machine", "/retry_budget/ratio"}) {
+    CHECK(mistakes.find(pointer) != std::string::npos);
+  }
+  CHECK_FALSE(ParseEntrySettings("[]"));
+  CHECK_FALSE(ParseEntrySettings("5"));
+}
+
 }  // namespace qp::relay::testing
