--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -1,5 +1,5 @@
 """A small deployment on loopback: the platform's store, servers of plain services, entry processes
-with the command and the settings template of deploy/, and raw callers. Used by the cases 11 to 15."""
+with the command and the settings template of deploy/, and raw callers. Used by the cases 11 to 14."""
 
 import asyncio
 import json
@@ -197,7 +197,7 @@
     async def start_store(self):
         self.store_port = await self.store.start()
 
-    def write_configuration(self, routes, keys=None):
+    def write_configuration(self, routes, keys=None, idle_ms=15000):
         """`routes`: name -> (prefix, service, kind, further members)."""
         self.version += 1
         services = sorted({service for _, service, _, _ in routes.values()})
@@ -210,7 +210,7 @@
             "services": [{"name": name, "healthCheckPath": "/health", "connectionLimit": 52,
                           "protocol": "h1", "tls": False} for name in services],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
-                       "idleTimeoutMs": 15000},
+                       "idleTimeoutMs": idle_ms},
             "tenants": [{"name": TENANT, "apiKeys": keys or [KEY]}]}
         self.store.put("op", "config", json.dumps(document).encode())
         self.record(f"desired state {self.version}: routes {sorted(routes)}")
